--- a/src/bin/pepperwalk-simhost.rs
+++ b/src/bin/chutesaddle-drill.rs
@@ -3,14 +3,14 @@
 use std::io;
 use std::process::ExitCode;
 
-use pepperwalk::wire::Host;
+use chutesaddle::wire::Host;
 
 fn main() -> ExitCode {
     let input = io::BufReader::new(io::stdin().lock());
     match Host::default().run(input, io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("pepperwalk-simhost: {error}");
+            eprintln!("chutesaddle-drill: {error}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Small builders that the tests share.
 #![allow(dead_code)]
 
-use pepperwalk::api::*;
-use pepperwalk::Dispatcher;
+use chutesaddle::api::*;
+use chutesaddle::Dispatcher;
 
 pub fn class(effect: Effect, group: Group) -> Class {
     Class {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -4,9 +4,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use chutesaddle::api::*;
+use chutesaddle::Dispatcher;
 use common::*;
-use pepperwalk::api::*;
-use pepperwalk::Dispatcher;
 
 /// After news of a drain, sends have to stop within this time.
 const DRAIN_GRACE_S: f64 = 0.25;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use chutesaddle::api::*;
 use common::*;
-use pepperwalk::api::*;
 
 fn fleet(n: u64) -> Vec<WorkerInfo> {
     (1..=n).map(worker).collect()
@@ -311,7 +311,7 @@
     let mut s = settings();
     s.ask_for_list = true;
     let mut out = Vec::new();
-    let mut d = pepperwalk::Dispatcher::new(s, 7);
+    let mut d = chutesaddle::Dispatcher::new(s, 7);
     d.handle(1.0, Event::Workers { whole: true, cached: true, entries: fleet(2) }, &mut out);
     assert!(out.contains(&Action::Subscribe));
     let mut waits = Vec::new();
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use chutesaddle::api::*;
 use common::*;
-use pepperwalk::api::*;
 
 fn many() -> Settings {
     let report = vec![ReportField::FreeSlots];
@@ -48,7 +48,7 @@
 fn dispatchers_ask_different_workers() {
     // Full-size days: ties went to the lowest id, so that all chose the same workers.
     let first = |seed| {
-        let mut d = pepperwalk::Dispatcher::new(many(), seed);
+        let mut d = chutesaddle::Dispatcher::new(many(), seed);
         let mut out = Vec::new();
         d.handle(1.0, Event::Workers { whole: true, cached: true, entries: fleet(200) }, &mut out);
         d.handle(1.0, Event::Request(request(1, 0, 1.0)), &mut out);
@@ -170,7 +170,7 @@
 #[test]
 fn list_calls_after_an_outage_are_spread_by_number() {
     let wait = |index| {
-        let mut d = pepperwalk::Dispatcher::new(Settings { index, ask_for_list: true, ..many() }, 7);
+        let mut d = chutesaddle::Dispatcher::new(Settings { index, ask_for_list: true, ..many() }, 7);
         let mut out = Vec::new();
         d.handle(1.0, Event::ListFailed, &mut out);
         match out.pop() {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Options to settings.
 
-use pepperwalk::api::*;
+use chutesaddle::api::*;
 
 #[test]
 fn reads_what_a_deployment_states() {
