--- a/src/api.rs
+++ b/src/api.rs
@@ -34,6 +34,8 @@
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
+    /// What the deployment calls it.
+    pub name: String,
     /// An answer within `aim_s` plus `stretch` times the job's own work earns the full worth.
     pub aim_s: f64,
     /// See `aim_s`.
@@ -57,6 +59,8 @@
 /// A customer with a share of the service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
+    /// What the deployment calls it.
+    pub name: String,
     /// Requests a second inside its share, over all dispatchers.
     pub quota_per_s: f64,
 }
@@ -93,6 +97,18 @@
     pub over_share_worth: f64,
     /// The values of a load report, in order.
     pub report: Vec<ReportField>,
+    /// What the values of a load report are called, in the same order.
+    pub report_names: Vec<String>,
+    /// The names of the zones, by index.
+    pub zones: Vec<String>,
+    /// The names of the kinds of worker, by index.
+    pub kinds: Vec<String>,
+    /// A connection that is not up within this time counts as failed.
+    pub connect_timeout_s: f64,
+    /// Workers close connections that stood idle for this long.
+    pub conn_idle_s: f64,
+    /// A final answer is still in time this long after the client's deadline.
+    pub answer_slack_s: f64,
     /// Workers tell when a job starts.
     pub tells_start: bool,
     /// Gap between progress notes; 0 for none.
@@ -142,6 +158,12 @@
             tenants: Vec::new(),
             over_share_worth: 0.1,
             report: Vec::new(),
+            report_names: Vec::new(),
+            zones: Vec::new(),
+            kinds: Vec::new(),
+            connect_timeout_s: 0.25,
+            conn_idle_s: 60.0,
+            answer_slack_s: 0.02,
             tells_start: false,
             progress_s: 0.0,
             max_attempts: 1,
@@ -239,6 +261,20 @@
     pub queue: Option<f64>,
 }
 
+impl Load {
+    /// Takes up one reported value; those that the decisions do not use and those that are no figure are
+    /// passed over.
+    pub fn set(&mut self, field: ReportField, value: f64) {
+        let value = value.is_finite().then_some(value);
+        match field {
+            ReportField::FreeSlots => self.free_slots = value,
+            ReportField::FreeMemory => self.free_memory = value,
+            ReportField::Queue => self.queue = value,
+            ReportField::Other => {}
+        }
+    }
+}
+
 /// The end of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ended {
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,125 @@
+//! What the platform tells a scheduler at its start: addresses, limits, the known pool and the settings.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use simd_json::prelude::*;
+use simd_json::tape::Value;
+
+use crate::api::Settings;
+use crate::net::discovery::PoolUpdate;
+use crate::settings::SettingsError;
+
+/// Why a scheduler cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    #[error("cannot read {0}: {1}")]
+    File(String, std::io::Error),
+    /// It is not JSON.
+    #[error("the configuration is not JSON: {0}")]
+    Json(#[from] simd_json::Error),
+    /// A field is missing or unreadable.
+    #[error("the configuration has no usable {0:?}")]
+    Field(&'static str),
+    /// A setting cannot be read.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+}
+
+/// The configuration of one scheduler.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients and call-backs connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The deployment's settings.
+    pub settings: Settings,
+    /// The pool as this scheduler last had it; may be out of date.
+    pub known: PoolUpdate,
+}
+
+/// Descriptors to count on where the configuration states no limit.
+const SOCKETS: usize = 1024;
+
+impl Config {
+    /// Reads the file at `path`.
+    ///
+    /// # Errors
+    /// Names the file or the field that cannot be used.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read(path);
+        Self::parse(&mut text.map_err(|error| ConfigError::File(path.display().to_string(), error))?)
+    }
+
+    /// Reads the JSON in `text`, which is used as scratch space.
+    ///
+    /// # Errors
+    /// Names the field that cannot be used.
+    pub fn parse(text: &mut [u8]) -> Result<Self, ConfigError> {
+        let tape = simd_json::to_tape(text)?;
+        let root = tape.as_value();
+        let string = |key| root.get_str(key).ok_or(ConfigError::Field(key));
+        let address = |key| string(key)?.parse().map_err(|_| ConfigError::Field(key));
+        let seed = string("seed")?;
+        let settings = root.get("settings").ok_or(ConfigError::Field("settings"))?;
+        let known = root.get("known").map(|known| PoolUpdate::read(&known));
+        Ok(Config {
+            name: string("name")?.to_owned(),
+            listen: address("listen")?,
+            discovery: address("discovery")?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| ConfigError::Field("seed"))?,
+            sockets: root.get("limits").and_then(|l| l.get_usize("sockets")).unwrap_or(SOCKETS),
+            settings: read_settings(&settings)?,
+            known: known.flatten().unwrap_or_default(),
+        })
+    }
+}
+
+/// The settings come nested here and as lines of `path=value` on the simulator's wire: flattened to those
+/// lines, both go through one reader and one type.
+fn read_settings(value: &Value) -> Result<Settings, SettingsError> {
+    let mut lines = String::new();
+    flatten("", value, &mut lines);
+    let settings: Settings = lines.parse()?;
+    // No probe is ever sent from here, whatever the deployment would allow.
+    Ok(Settings { probes: false, ..settings })
+}
+
+fn flatten(path: &str, value: &Value, lines: &mut String) {
+    let join = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    if let Some(object) = value.as_object() {
+        object.iter().for_each(|(key, value)| flatten(&join(key), &value, lines));
+    } else if let Some(array) = value.as_array() {
+        if array.iter().any(|item| item.is_object()) {
+            let _ = writeln!(lines, "{}={}", join("count"), array.len());
+            let items = array.iter().enumerate();
+            items.for_each(|(i, item)| flatten(&join(&i.to_string()), &item, lines));
+        } else {
+            let items: Vec<String> = array.iter().filter_map(|item| plain(&item)).collect();
+            let _ = writeln!(lines, "{path}={}", items.join(","));
+        }
+    } else if let Some(value) = plain(value) {
+        let _ = writeln!(lines, "{path}={value}");
+    }
+}
+
+/// A value as the wire writes it. Null stands for a key that is not there.
+fn plain(value: &Value) -> Option<String> {
+    if let Some(text) = value.as_str() {
+        return Some(text.replace([' ', ',', '\n'], "_"));
+    }
+    if let Some(flag) = value.as_bool() {
+        return Some(flag.to_string());
+    }
+    let whole = value.as_i128().map(|n| n.to_string());
+    whole.or_else(|| value.as_f64().map(|n| n.to_string()))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,9 @@
 #![doc = include_str!("../README.md")]
 
 pub mod api;
+pub mod config;
+pub mod counters;
+pub mod net;
 pub mod rules;
 pub mod settings;
 mod state;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,13 +1,41 @@
-//! The scheduler on real sockets. So far it takes its address and waits for SIGTERM; it serves no job yet.
+//! The scheduler on real sockets: start-up, signals, exit.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
 
+use chutesaddle::config::{Config, ConfigError};
+use chutesaddle::counters::Counters;
+use chutesaddle::net::client::Front;
+use chutesaddle::net::discovery::Watch;
+use chutesaddle::net::engine::Engine;
+use chutesaddle::net::member::Dialer;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
+
+/// After SIGTERM new transactions are still taken for this long: the front layer learns late.
+const KEEP_TAKING: Duration = Duration::from_millis(500);
+/// How often to look whether the last transaction is answered.
+const LOOK: Duration = Duration::from_millis(10);
+
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error("NODE_CONFIG is not set")]
+    NoConfig,
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error("cannot listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, std::io::Error),
+    #[error("cannot wait for signals: {0}")]
+    Signal(std::io::Error),
+}
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    match run().await {
+    match LocalSet::new().run_until(run()).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("chutesaddle: {error}");
@@ -16,9 +44,41 @@
     }
 }
 
-async fn run() -> Result<(), Box<dyn std::error::Error>> {
-    let address = std::env::var("NODE_LISTEN").map_err(|error| format!("NODE_LISTEN: {error}"))?;
-    let _listener = TcpListener::bind(&address).await.map_err(|error| format!("{address}: {error}"))?;
-    signal(SignalKind::terminate())?.recv().await;
+async fn run() -> Result<(), StartError> {
+    let path = std::env::var_os("NODE_CONFIG").ok_or(StartError::NoConfig)?;
+    let config = Config::load(&PathBuf::from(path))?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|error| StartError::Listen(config.listen, error))?;
+
+    let counters = Rc::new(Counters::default());
+    let settings = config.settings;
+    // Of the descriptors, six in ten are for clients and call-backs and three for members; the rest is for
+    // discovery, the listener, the runtime and the standard streams.
+    let (clients, members) = (config.sockets * 6 / 10, config.sockets * 3 / 10);
+    let (connect_timeout_s, conn_idle_s) = (settings.connect_timeout_s, settings.conn_idle_s);
+    let dialer = Rc::new(Dialer::new(members, connect_timeout_s, conn_idle_s, Rc::clone(&counters)));
+    let (engine, queue) = Engine::new(settings.clone(), config.seed, dialer, Rc::clone(&counters));
+    let watch = Watch {
+        address: config.discovery,
+        version: config.known.version,
+        queue: queue.clone(),
+        counters: Rc::clone(&counters),
+    };
+    let front = Rc::new(Front::new(settings, queue, Rc::clone(&counters), clients));
+    spawn_local(engine.run(config.known));
+    spawn_local(watch.run());
+    spawn_local(Rc::clone(&front).run(listener));
+    eprintln!("chutesaddle: {} serves on {}", config.name, config.listen);
+
+    terminate.recv().await;
+    eprintln!("chutesaddle: stopping, {} transactions wait for their answer", front.waiting());
+    front.say_close();
+    sleep(KEEP_TAKING).await;
+    front.stop_taking();
+    while front.waiting() > 0 {
+        sleep(LOOK).await;
+    }
+    eprint!("chutesaddle: stopped; the counters:\n{counters}");
     Ok(())
 }
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,210 @@
+//! Follows discovery's list of members, the pool, and hands every change to the engine.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use simd_json::prelude::*;
+use simd_json::tape::Value;
+use tokio::time::{sleep, timeout};
+
+use super::engine::{Message, Queue};
+use super::http::{Connection, HttpError};
+use crate::counters::Counters;
+
+/// A line comes every 2 s: after three missed ones the watch is taken for dead.
+const SILENCE: Duration = Duration::from_millis(6500);
+/// First and longest wait before the next watch.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// The longest line, and so the longest list, that is taken.
+const LINE_BYTES: usize = 4 * 1024 * 1024;
+
+/// What the pool says of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    /// Takes work.
+    Active,
+    /// Finishes what it holds.
+    Leaving,
+    /// Is gone.
+    Left,
+}
+
+/// A member as the pool lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemberLine {
+    /// Its name, the same at every scheduler and after a restart.
+    pub name: String,
+    /// Where this scheduler reaches it; absent where it has left.
+    pub address: Option<SocketAddr>,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u16,
+    /// Whether it takes work.
+    pub state: MemberState,
+    /// Unix time of its last start in seconds; 0 for long ago.
+    pub started_s: f64,
+}
+
+/// One message of discovery: the whole pool or the members that changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PoolUpdate {
+    /// Its version.
+    pub version: u64,
+    /// What is not listed has left.
+    pub full: bool,
+    /// The members.
+    pub members: Vec<MemberLine>,
+    /// Entries that could not be read. A full list with such entries proves nothing about absent ones.
+    pub unreadable: usize,
+}
+
+impl PoolUpdate {
+    /// Reads a message; `None` if it is not one. Entries that make no sense are counted and passed over:
+    /// one bad line must not hide the others.
+    pub fn read(value: &Value) -> Option<Self> {
+        let version = value.get_u64("version")?;
+        // Not `get_array`: simd-json 0.15 cuts its slice of the tape one node short and panics on the last.
+        let listed = value.get("servers")?.as_array()?;
+        let members: Vec<_> = listed.iter().filter_map(|entry| member(&entry)).collect();
+        let unreadable = listed.len() - members.len();
+        Some(PoolUpdate { version, full: value.get_bool("full").unwrap_or(false), members, unreadable })
+    }
+}
+
+fn member(entry: &Value) -> Option<MemberLine> {
+    let state = match entry.get_str("state")? {
+        "active" => MemberState::Active,
+        "leaving" => MemberState::Leaving,
+        "left" => MemberState::Left,
+        _ => return None,
+    };
+    let address = entry.get_str("addr").and_then(|address| address.parse().ok());
+    if address.is_none() && state != MemberState::Left {
+        return None;
+    }
+    let text = |key| entry.get_str(key).unwrap_or_default().to_owned();
+    let cell = entry.get("cell").and_then(|cell| cell.as_u16()).unwrap_or_default();
+    let started_ms = entry.get("started_ms").and_then(|ms| ms.cast_f64()).unwrap_or_default();
+    let name = entry.get_str("id")?.to_owned();
+    Some(MemberLine {
+        name,
+        address,
+        zone: text("zone"),
+        kind: text("kind"),
+        cell,
+        state,
+        started_s: started_ms / 1000.0,
+    })
+}
+
+/// Why a watch ended.
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    #[error("answered with status {0}")]
+    Status(u16),
+    #[error("the watch ended")]
+    Ended,
+    #[error("nothing came for a while")]
+    Silent,
+    #[error("a line is too long")]
+    LongLine,
+}
+
+/// A watch of discovery, started anew whenever it ends.
+pub struct Watch {
+    /// Where discovery answers.
+    pub address: SocketAddr,
+    /// The version that is known.
+    pub version: u64,
+    /// Where changes go.
+    pub queue: Queue,
+    /// Counts messages and restarts.
+    pub counters: Rc<Counters>,
+}
+
+impl Watch {
+    /// Follows discovery for good. While it is silent, the pool stays as it was last told.
+    pub async fn run(mut self) {
+        let (mut backoff, mut lost) = (BACKOFF.0, false);
+        loop {
+            let mut heard = false;
+            let Err(error) = self.follow(&mut heard).await;
+            self.counters.pool_reconnects.add();
+            if heard {
+                (backoff, lost) = (BACKOFF.0, false);
+            }
+            // Once for each time it is lost, not for each try.
+            if !std::mem::replace(&mut lost, true) {
+                eprintln!("chutesaddle: discovery lost, the pool stays as last told: {error}");
+            }
+            sleep(backoff).await;
+            backoff = (backoff * 2).min(BACKOFF.1);
+        }
+    }
+
+    /// One watch, until it ends.
+    async fn follow(&mut self, heard: &mut bool) -> Result<Infallible, WatchError> {
+        let mut connection = timeout(SILENCE, self.open()).await.map_err(|_| WatchError::Silent)??;
+        let mut rest = BytesMut::new();
+        loop {
+            let chunk = timeout(SILENCE, connection.chunk(LINE_BYTES)).await;
+            let chunk = chunk.map_err(|_| WatchError::Silent)??.ok_or(WatchError::Ended)?;
+            *heard = true;
+            rest.extend_from_slice(&chunk);
+            while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
+                self.line(&mut rest.split_to(end + 1)[..end]);
+            }
+            if rest.len() > LINE_BYTES {
+                return Err(WatchError::LongLine);
+            }
+        }
+    }
+
+    async fn open(&self) -> Result<Connection, WatchError> {
+        let mut connection = Connection::connect(self.address).await?;
+        let target = format!("GET /v1/endpoints?follow=1&since={} HTTP/1.1\r\n", self.version);
+        connection.write(&[target.as_bytes(), format!("Host: {}\r\n\r\n", self.address).as_bytes()]).await?;
+        let head = connection.response_head().await?;
+        if head.status == 200 {
+            Ok(connection)
+        } else {
+            Err(WatchError::Status(head.status))
+        }
+    }
+
+    /// Takes up one line; an empty one only says that the watch lives.
+    fn line(&mut self, line: &mut [u8]) {
+        if line.trim_ascii().is_empty() {
+            return;
+        }
+        let tape = simd_json::to_tape(line);
+        let Some(update) = tape.ok().and_then(|tape| PoolUpdate::read(&tape.as_value())) else {
+            return self.malformed("a line that is no list");
+        };
+        if update.unreadable > 0 {
+            self.malformed("a list with entries that make no sense");
+        }
+        // A change that is older than what is known would bring back members that have left.
+        if update.full || update.version >= self.version {
+            self.version = update.version;
+            self.counters.pool_updates.add();
+            self.queue.send(Message::Pool(update));
+        }
+    }
+
+    fn malformed(&self, what: &str) {
+        if self.counters.pool_malformed.add().is_power_of_two() {
+            eprintln!("chutesaddle: discovery sent {what}");
+        }
+    }
+}
--- /dev/null
+++ b/src/net/engine.rs
@@ -0,0 +1,546 @@
+//! Owner of the decision module: one task that numbers transactions, keeps the clock and the timers, and
+//! gives each transaction one [`Reply`]. Everything else reaches the module through its [`Queue`], whose
+//! messages know no protocol, so that another front can stand beside HTTP.
+
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, Instant};
+
+use super::discovery::{MemberState, PoolUpdate};
+use super::end::ConnectionEnd;
+use super::flow::{Flow, Payload};
+use super::member::{Dialer, Member};
+use crate::api::{
+    Action, Ended, Event, Load, Request, RequestId, Settings, WorkerId, WorkerInfo, WorkerState,
+};
+use crate::counters::Counters;
+use crate::rules::Dispatcher;
+
+/// Kept connections are looked over this often.
+const HOUSEKEEPING: Duration = Duration::from_secs(1);
+/// The largest wait that a timer may ask for.
+const LONGEST_TIMER_S: f64 = 24.0 * 3600.0;
+
+/// A job that a client wants done, as a front hands it over.
+#[derive(Debug)]
+pub struct Transaction {
+    /// Index into [`Settings::classes`].
+    pub class: usize,
+    /// Index into [`Settings::tenants`].
+    pub tenant: usize,
+    /// When its client stops waiting.
+    pub deadline: Instant,
+    /// Slots it needs.
+    pub slots: f64,
+    /// Memory it needs.
+    pub memory: f64,
+    /// Its expected work in seconds, if the client gave a hint.
+    pub hint: Option<f64>,
+    /// What goes to the member.
+    pub payload: Payload,
+}
+
+/// The one final answer to a transaction.
+#[derive(Debug, PartialEq)]
+pub enum Reply {
+    /// The result that a member gave.
+    Served(Bytes),
+    /// Rejected: trying again is harmless, best after this many seconds.
+    Rejected {
+        /// 0 for no advice.
+        hold_off_s: f64,
+    },
+    /// Failed; it may have run.
+    Failed,
+    /// Not taken: its id is in use by a transaction that is still open.
+    Duplicate,
+}
+
+/// What a member tells of a job.
+#[derive(Debug)]
+pub enum News {
+    /// It has begun.
+    Started,
+    /// So much of it is done.
+    Progress(f64),
+    /// It is done, with this result.
+    Done(Bytes),
+    /// It has ended in another way.
+    Ended(ConnectionEnd),
+}
+
+/// News of a job, with the names that the member knows.
+#[derive(Debug)]
+pub struct CallBack {
+    /// The transaction's name.
+    pub name: Bytes,
+    /// The member's name.
+    pub from: String,
+    /// What it tells.
+    pub news: News,
+    /// Its load report, by name.
+    pub load: Vec<(String, f64)>,
+}
+
+/// What the engine tells a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// The job has ended: finish the exchange, if it goes quickly.
+    Settle,
+    /// Give the job up.
+    Withdraw,
+}
+
+/// What reaches the engine.
+pub enum Message {
+    /// A new transaction and where its answer goes.
+    Transaction(RequestId, Box<Transaction>, oneshot::Sender<Reply>),
+    /// The client of a transaction has left.
+    Left(RequestId),
+    /// A member's call-back.
+    CallBack(CallBack),
+    /// A flow has ended.
+    FlowEnded(RequestId, usize, ConnectionEnd, Option<String>),
+    /// The pool has changed.
+    Pool(PoolUpdate),
+}
+
+/// The way to the engine. It has no bound of its own: each connection has at most one message in it at a
+/// time, and the number of connections is bounded.
+#[derive(Clone)]
+pub struct Queue {
+    sender: mpsc::UnboundedSender<Message>,
+    next: Rc<Cell<u32>>,
+}
+
+impl Queue {
+    /// Hands in a message. Once the engine has stopped, the process is ending and nothing is owed.
+    pub fn send(&self, message: Message) {
+        let _ = self.sender.send(message);
+    }
+
+    /// Hands in a transaction.
+    pub fn submit(&self, transaction: Transaction) -> Pending {
+        let id = RequestId(self.next.get());
+        self.next.set(id.0.wrapping_add(1));
+        let (sender, reply) = oneshot::channel();
+        self.send(Message::Transaction(id, Box::new(transaction), sender));
+        Pending { id, reply, queue: self.clone(), answered: false }
+    }
+}
+
+/// A transaction that waits for its answer. Dropped before that, its client counts as gone, however the
+/// front's task came to its end.
+pub struct Pending {
+    id: RequestId,
+    reply: oneshot::Receiver<Reply>,
+    queue: Queue,
+    answered: bool,
+}
+
+impl Pending {
+    /// The answer.
+    pub async fn reply(&mut self) -> Reply {
+        let reply = (&mut self.reply).await;
+        self.answered = true;
+        reply.unwrap_or(Reply::Failed)
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.queue.send(Message::Left(self.id));
+        }
+    }
+}
+
+/// Seconds since the Unix epoch, from one reading of the wall clock and monotonic time from then on. The
+/// module compares it with the members' start times and takes a time of 0 or less for long ago: a clock
+/// that began with this process would make members that just started look warm.
+struct Clock {
+    anchor: Instant,
+    anchor_s: f64,
+}
+
+impl Clock {
+    fn start() -> Self {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { anchor: Instant::now(), anchor_s: wall.as_secs_f64() }
+    }
+
+    fn at(&self, instant: Instant) -> f64 {
+        let since = instant.saturating_duration_since(self.anchor).as_secs_f64();
+        self.anchor_s + since - self.anchor.saturating_duration_since(instant).as_secs_f64()
+    }
+}
+
+/// An attempt and the flow that carries it.
+struct Attempt {
+    worker: WorkerId,
+    /// Open until the module has been told its end.
+    open: bool,
+    /// Given up, so that its end is on its way.
+    withdrawn: bool,
+    order: Option<oneshot::Sender<Order>>,
+}
+
+impl Attempt {
+    fn order(&mut self, order: Order) {
+        // A flow that has ended by itself has no ear left, and needs none.
+        let _ = self.order.take().map(|sender| sender.send(order));
+    }
+}
+
+/// A transaction until it is answered and no attempt of it is open.
+struct Live {
+    reply: Option<oneshot::Sender<Reply>>,
+    payload: Rc<Payload>,
+    deadline: Instant,
+    attempts: Vec<Attempt>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Deadline(RequestId),
+}
+
+/// The engine.
+pub struct Engine {
+    dispatcher: Dispatcher,
+    settings: Settings,
+    clock: Clock,
+    receiver: mpsc::UnboundedReceiver<Message>,
+    queue: Queue,
+    dialer: Rc<Dialer>,
+    counters: Rc<Counters>,
+    members: BTreeMap<WorkerId, Rc<Member>>,
+    starts: HashMap<WorkerId, f64>,
+    /// Members by name; a name keeps its number for good, as flows to a member that left may still be open.
+    numbers: HashMap<String, WorkerId>,
+    live: HashMap<RequestId, Live>,
+    names: HashMap<Bytes, RequestId>,
+    timers: BinaryHeap<Reverse<(Instant, u64, Due)>>,
+    timers_set: u64,
+}
+
+impl Engine {
+    /// An engine for these settings, and the way to it.
+    pub fn new(settings: Settings, seed: u64, dialer: Rc<Dialer>, counters: Rc<Counters>) -> (Self, Queue) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let queue = Queue { sender, next: Rc::default() };
+        let engine = Engine {
+            dispatcher: Dispatcher::new(settings.clone(), seed),
+            settings,
+            clock: Clock::start(),
+            receiver,
+            queue: queue.clone(),
+            dialer,
+            counters,
+            members: BTreeMap::new(),
+            starts: HashMap::new(),
+            numbers: HashMap::new(),
+            live: HashMap::new(),
+            names: HashMap::new(),
+            timers: BinaryHeap::new(),
+            timers_set: 0,
+        };
+        (engine, queue)
+    }
+
+    /// Takes up `known` as the pool that is remembered, then runs for good.
+    pub async fn run(mut self, known: PoolUpdate) {
+        self.pool(known, true);
+        let mut housekeeping = Instant::now() + HOUSEKEEPING;
+        loop {
+            let next = self.timers.peek().map_or(housekeeping, |timer| timer.0 .0.min(housekeeping));
+            tokio::select! {
+                message = self.receiver.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = sleep_until(next) => {}
+            }
+            let now = Instant::now();
+            while let Some(Reverse((_, _, due))) = self.timers.peek().filter(|t| t.0 .0 <= now).copied() {
+                self.timers.pop();
+                match due {
+                    Due::Module(tag) => self.tell(Event::Timer(tag)),
+                    Due::Deadline(id) => self.deadline(id),
+                }
+            }
+            if now >= housekeeping {
+                self.members.values().for_each(|member| member.prune());
+                housekeeping = now + HOUSEKEEPING;
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Transaction(id, transaction, reply) => self.transaction(id, *transaction, reply),
+            Message::Left(id) => self.left(id),
+            Message::CallBack(call_back) => self.call_back(call_back),
+            Message::FlowEnded(id, attempt, end, report) => {
+                let load = report.map(|report| self.load(&read_report(&report))).unwrap_or_default();
+                self.ended(id, attempt, end, load);
+            }
+            Message::Pool(update) => self.pool(update, false),
+        }
+    }
+
+    fn transaction(&mut self, id: RequestId, transaction: Transaction, reply: oneshot::Sender<Reply>) {
+        let Transaction { class, tenant, deadline, slots, memory, hint, payload } = transaction;
+        if self.names.contains_key(&payload.name) || self.live.contains_key(&id) {
+            // Call-backs could not tell the two apart.
+            if self.counters.duplicate_ids.add().is_power_of_two() {
+                eprintln!("chutesaddle: a transaction's id is in use by another that is still open");
+            }
+            let _ = reply.send(Reply::Duplicate);
+            return;
+        }
+        self.counters.transactions_taken.add();
+        self.names.insert(payload.name.clone(), id);
+        let live = Live { reply: Some(reply), payload: Rc::new(payload), deadline, attempts: Vec::new() };
+        self.live.insert(id, live);
+        self.set_timer(deadline, Due::Deadline(id));
+        let deadline = self.clock.at(deadline);
+        self.tell(Event::Request(Request { id, class, tenant, deadline, slots, memory, hint }));
+    }
+
+    fn left(&mut self, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        if live.reply.take().is_some() {
+            self.counters.clients_left.add();
+            self.tell(Event::Left(id));
+            self.forget(id);
+        }
+    }
+
+    /// The deadline has passed: what is still out is over, and the module gives its final answer, which
+    /// the slack still covers. Attempts that are being given up end in their own way.
+    fn deadline(&mut self, id: RequestId) {
+        let attempts = self.live.get(&id).map_or(0, |live| live.attempts.len());
+        for attempt in 0..attempts {
+            let Some(a) = self.live.get_mut(&id).and_then(|live| live.attempts.get_mut(attempt)) else {
+                return;
+            };
+            if a.open && !a.withdrawn {
+                a.order(Order::Withdraw);
+                self.ended(id, attempt, ConnectionEnd::DeadlinePassed, Load::default());
+            }
+        }
+    }
+
+    /// A call-back counts for the attempt at the member that sent it. It may come before the answer that
+    /// the member took the job, twice, or for an attempt that is over.
+    fn call_back(&mut self, call_back: CallBack) {
+        self.counters.callbacks.add();
+        let load = self.load(&call_back.load);
+        let id = self.names.get(&call_back.name).copied();
+        let worker = self.numbers.get(&call_back.from).copied();
+        let found = id.and_then(|id| {
+            let attempts = &self.live.get(&id)?.attempts;
+            let last = |open: bool| attempts.iter().rposition(|a| Some(a.worker) == worker && a.open == open);
+            last(true).or(last(false)).map(|attempt| (id, attempt, attempts[attempt].open))
+        });
+        match (found, call_back.news) {
+            (Some((request, attempt, true)), News::Started) => self.tell(Event::Started { request, attempt }),
+            (Some((request, attempt, true)), News::Progress(share)) => {
+                self.tell(Event::Progress { request, attempt, share });
+            }
+            (Some((request, attempt, true)), News::Ended(end)) => self.ended(request, attempt, end, load),
+            (Some((request, attempt, open)), News::Done(result)) => {
+                let first = self.answer(request, Reply::Served(result));
+                if open {
+                    self.ended(request, attempt, ConnectionEnd::Done, load);
+                } else if first {
+                    // An attempt that was given up was done all the same: the client has its result, and
+                    // the module gives up whatever else is out.
+                    self.tell(Event::Left(request));
+                    self.forget(request);
+                }
+            }
+            _ => {
+                self.counters.callbacks_unmatched.add();
+            }
+        }
+    }
+
+    /// Tells the module the end of an attempt, once.
+    fn ended(&mut self, request: RequestId, attempt: usize, end: ConnectionEnd, load: Load) {
+        let Some(live) = self.live.get_mut(&request) else { return };
+        let closed = live.reply.is_none();
+        let Some(a) = live.attempts.get_mut(attempt).filter(|a| a.open) else { return };
+        a.open = false;
+        a.order(Order::Settle);
+        self.counters.ended(end);
+        self.tell(Event::Ended(Ended { request, attempt, outcome: end.outcome(), closed, load }));
+        self.forget(request);
+    }
+
+    /// Gives the final answer; false if there was one before.
+    fn answer(&mut self, id: RequestId, reply: Reply) -> bool {
+        let Some(sender) = self.live.get_mut(&id).and_then(|live| live.reply.take()) else { return false };
+        match reply {
+            Reply::Served(_) => self.counters.answered_served.add(),
+            Reply::Rejected { .. } => self.counters.answered_rejected.add(),
+            Reply::Failed | Reply::Duplicate => self.counters.answered_failed.add(),
+        };
+        let _ = sender.send(reply); // the client may have left this instant
+        true
+    }
+
+    /// Forgets a transaction that is answered and has no open attempt.
+    fn forget(&mut self, id: RequestId) {
+        if self.live.get(&id).is_some_and(|l| l.reply.is_none() && l.attempts.iter().all(|a| !a.open)) {
+            if let Some(live) = self.live.remove(&id) {
+                self.names.remove(&live.payload.name);
+            }
+        }
+    }
+
+    /// Hands the module an event and carries out what it decides, and what follows from that.
+    fn tell(&mut self, event: Event) {
+        let mut events = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = events.pop_front() {
+            self.dispatcher.handle(self.clock.at(Instant::now()), event, &mut actions);
+            for action in actions.drain(..) {
+                events.extend(self.perform(action));
+            }
+        }
+    }
+
+    fn perform(&mut self, action: Action) -> Option<Event> {
+        match action {
+            Action::Route { request, worker } => return self.route(request, worker),
+            Action::Refuse { request, hold_off_s } => {
+                self.answer(request, Reply::Rejected { hold_off_s });
+                self.forget(request);
+            }
+            Action::Fail(request) => {
+                self.answer(request, Reply::Failed);
+                self.forget(request);
+            }
+            Action::Cancel { request, attempt } => {
+                let live = self.live.get_mut(&request);
+                if let Some(a) = live.and_then(|l| l.attempts.get_mut(attempt)).filter(|a| a.open) {
+                    a.withdrawn = true;
+                    a.order(Order::Withdraw);
+                }
+            }
+            Action::Timer { after_s, tag } => {
+                let after = Duration::from_secs_f64(after_s.clamp(0.0, LONGEST_TIMER_S));
+                self.set_timer(Instant::now() + after, Due::Module(tag));
+            }
+            // The watch of discovery runs all the time, and the settings say that nothing is probed.
+            Action::Subscribe | Action::Probe(_) => {}
+        }
+        None
+    }
+
+    fn route(&mut self, request: RequestId, worker: WorkerId) -> Option<Event> {
+        let live = self.live.get_mut(&request)?;
+        let attempt = live.attempts.len();
+        let (sender, order) = oneshot::channel();
+        let member = self.members.get(&worker).filter(|_| live.reply.is_some());
+        let Some(member) = member else {
+            // Answered, or the member left, within this very batch: nothing is sent.
+            live.attempts.push(Attempt { worker, open: false, withdrawn: false, order: None });
+            let outcome = ConnectionEnd::MemberInactive.outcome();
+            let closed = live.reply.is_none();
+            return Some(Event::Ended(Ended { request, attempt, outcome, closed, load: Load::default() }));
+        };
+        live.attempts.push(Attempt { worker, open: true, withdrawn: false, order: Some(sender) });
+        self.counters.flows.add();
+        let flow = Flow {
+            member: Rc::clone(member),
+            payload: Rc::clone(&live.payload),
+            deadline: live.deadline,
+            order,
+            counters: Rc::clone(&self.counters),
+        };
+        let queue = self.queue.clone();
+        tokio::task::spawn_local(async move {
+            let (end, report) = flow.run().await;
+            queue.send(Message::FlowEnded(request, attempt, end, report));
+        });
+        None
+    }
+
+    fn set_timer(&mut self, at: Instant, due: Due) {
+        self.timers_set += 1;
+        self.timers.push(Reverse((at, self.timers_set, due)));
+    }
+
+    fn load(&self, report: &[(String, f64)]) -> Load {
+        let mut load = Load::default();
+        for (name, value) in report {
+            if let Some(i) = self.settings.report_names.iter().position(|known| known == name) {
+                load.set(self.settings.report[i], *value);
+            }
+        }
+        load
+    }
+
+    /// Takes up the pool's news and translates it for the module.
+    fn pool(&mut self, update: PoolUpdate, cached: bool) {
+        let mut entries = Vec::with_capacity(update.members.len());
+        let whole = update.full && update.unreadable == 0;
+        if whole {
+            let listed = |name: &str| update.members.iter().any(|member| member.name == name);
+            self.members.values().filter(|m| !listed(&m.name)).for_each(|m| m.left());
+            self.members.retain(|_, m| listed(&m.name));
+        }
+        for line in update.members {
+            let next = WorkerId(self.numbers.len() as u64 + 1);
+            let id = *self.numbers.entry(line.name.clone()).or_insert(next);
+            let active = line.state == MemberState::Active;
+            match (line.state, line.address) {
+                (MemberState::Left, _) | (_, None) => {
+                    self.members.remove(&id).inspect(|member| member.left());
+                }
+                (_, Some(address)) => match self.members.get(&id) {
+                    Some(member) => {
+                        let restarted = self.starts.get(&id).is_some_and(|&s| line.started_s > s);
+                        member.update(address, active, restarted);
+                    }
+                    None => {
+                        let member = Member::new(line.name, address, active, Rc::clone(&self.dialer));
+                        self.members.insert(id, Rc::new(member));
+                    }
+                },
+            }
+            self.starts.insert(id, line.started_s);
+            let index =
+                |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or_default();
+            entries.push(WorkerInfo {
+                id,
+                state: match line.state {
+                    MemberState::Active => WorkerState::Ready,
+                    MemberState::Leaving => WorkerState::Draining,
+                    MemberState::Left => WorkerState::Gone,
+                },
+                zone: index(&self.settings.zones, &line.zone) as u16,
+                cell: line.cell,
+                kind: index(&self.settings.kinds, &line.kind),
+                since: line.started_s,
+            });
+        }
+        self.tell(Event::Workers { whole, cached, entries });
+    }
+}
+
+/// A load report as a header writes it: `name=value,name=value`.
+fn read_report(report: &str) -> Vec<(String, f64)> {
+    let pairs = report.split(',').filter_map(|pair| pair.split_once('='));
+    pairs.filter_map(|(name, value)| Some((name.trim().to_owned(), value.trim().parse().ok()?))).collect()
+}
--- /dev/null
+++ b/src/net/flow.rs
@@ -0,0 +1,165 @@
+//! One server-side flow: a single attempt of a transaction at one pool member, from the connect to the
+//! moment the engine needs it no more.
+
+use std::fmt::Write as _;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+use tokio::time::{timeout, Instant};
+
+use super::end::ConnectionEnd;
+use super::engine::Order;
+use super::http::{Head, HttpError};
+use super::member::{Member, MemberConnection};
+use crate::counters::Counters;
+
+/// How long an answer of the member may still come once the engine needs it no more; until then the
+/// connection may become free again.
+const LATE_ANSWER: Duration = Duration::from_secs(1);
+
+/// What a flow sends: passed on as the client wrote it.
+#[derive(Debug)]
+pub struct Payload {
+    /// `X-Request-Id`, by which the member's call-backs name the transaction.
+    pub name: Bytes,
+    /// The target of the request line.
+    pub target: Bytes,
+    /// `Idempotency-Key`.
+    pub key: Option<Bytes>,
+    /// `Content-Type`.
+    pub content_type: Option<Bytes>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How far a flow has come; it decides what giving it up takes.
+enum Stage {
+    Unsent,
+    Waiting,
+    Taken,
+}
+
+/// A flow before it runs.
+pub struct Flow {
+    /// Where to.
+    pub member: Rc<Member>,
+    /// What.
+    pub payload: Rc<Payload>,
+    /// When the transaction's client stops waiting.
+    pub deadline: Instant,
+    /// The engine's word that it needs the flow no more.
+    pub order: oneshot::Receiver<Order>,
+    /// Counts deletes.
+    pub counters: Rc<Counters>,
+}
+
+impl Flow {
+    /// Runs the flow. The value is how it ended and the load report that came with that, unless a
+    /// call-back, which goes to the engine directly, has ended it before.
+    pub async fn run(mut self) -> (ConnectionEnd, Option<String>) {
+        let mut stage = Stage::Unsent;
+        // Boxed, so that giving up can drop it, and with it the connection, on the spot.
+        let mut attempt = Box::pin(attempt(&self.member, &self.payload, self.deadline, &mut stage));
+        let (order, running) = tokio::select! {
+            biased;
+            order = &mut self.order => (order, true),
+            end = &mut attempt => match end {
+                Some(end) => return end,
+                None => ((&mut self.order).await, false),
+            },
+        };
+        if !matches!(order, Ok(Order::Withdraw)) {
+            // A call-back may overtake the answer. What that answer says is of no more interest, but once it
+            // is read the connection is free; one that has been read must not be waited for again.
+            if running {
+                let _ = timeout(LATE_ANSWER, attempt).await;
+            }
+            return (ConnectionEnd::Done, None);
+        }
+        drop(attempt); // before the answer, the close alone gives the job up
+        match stage {
+            Stage::Unsent => (ConnectionEnd::WithdrawnUnsent, None),
+            Stage::Waiting | Stage::Taken => {
+                self.counters.deletes.add();
+                // The answer shows that no second copy can overlap; a silent member gives none.
+                let _ = timeout(self.member.patience(), delete(&self.member, &self.payload)).await;
+                (ConnectionEnd::Withdrawn, None)
+            }
+        }
+    }
+}
+
+/// Sends the job and reads the answer. `None`: the member has taken it, and call-backs tell the rest.
+async fn attempt(
+    member: &Member,
+    payload: &Payload,
+    deadline: Instant,
+    stage: &mut Stage,
+) -> Option<(ConnectionEnd, Option<String>)> {
+    let mut connection = match member.connection().await {
+        Ok(connection) => connection,
+        Err(end) => return Some((end, None)),
+    };
+    // The connect took time: a member that was told to drain meanwhile must not get the first byte.
+    if !member.is_active() {
+        member.keep(connection);
+        return Some((ConnectionEnd::MemberInactive, None));
+    }
+    let left = deadline.saturating_duration_since(Instant::now()).as_millis();
+    let mut lengths = String::new();
+    let _ = write!(lengths, "\r\nX-Deadline-Ms: {left}\r\nContent-Length: {}\r\n", payload.body.len());
+    let mut parts: Vec<&[u8]> =
+        vec![b"POST ", &payload.target, b" HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: "];
+    parts.extend([&payload.name[..], lengths.as_bytes()]);
+    if let Some(key) = &payload.key {
+        parts.extend([&b"Idempotency-Key: "[..], key, b"\r\n"]);
+    }
+    if let Some(content_type) = &payload.content_type {
+        parts.extend([&b"Content-Type: "[..], content_type, b"\r\n"]);
+    }
+    parts.extend([&b"\r\n"[..], &payload.body]);
+    if connection.http.write(&parts).await.is_err() {
+        return Some((ConnectionEnd::BrokeSending, None));
+    }
+    *stage = Stage::Waiting;
+    let head = match answer(&mut connection).await {
+        Ok(head) => head,
+        Err(HttpError::Malformed(_) | HttpError::HeadTooLong | HttpError::BodyTooLong) => {
+            return Some((ConnectionEnd::Garbled, None))
+        }
+        Err(_) => return Some((ConnectionEnd::BrokeWaiting, None)),
+    };
+    if head.keep_alive {
+        member.keep(connection);
+    }
+    let not_run = head.headers.get("x-not-run") == Some("1");
+    let load = head.headers.get("x-load").map(str::to_owned);
+    match head.status {
+        202 => {
+            *stage = Stage::Taken;
+            None
+        }
+        503 | 504 if not_run => Some((ConnectionEnd::Returned, load)),
+        _ => Some((ConnectionEnd::Failed, load)),
+    }
+}
+
+async fn answer(connection: &mut MemberConnection) -> Result<Head, HttpError> {
+    let head = connection.http.response_head().await?;
+    connection.http.body(&head).await?;
+    Ok(head)
+}
+
+/// Gives a job up at a member that may hold it. Whatever it answers, nothing more can be done.
+async fn delete(member: &Member, payload: &Payload) {
+    let Ok(mut connection) = member.connection().await else { return };
+    let head = b" HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 0\r\n\r\n";
+    if connection.http.write(&[b"DELETE /jobs/", &payload.name, head]).await.is_err() {
+        return;
+    }
+    if answer(&mut connection).await.is_ok_and(|head| head.keep_alive) {
+        member.keep(connection);
+    }
+}
--- /dev/null
+++ b/src/net/member.rs
@@ -0,0 +1,140 @@
+//! A pool member as the sockets see it: its address, whether it takes work, and the connections kept to it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{timeout, Instant};
+
+use super::end::ConnectionEnd;
+use super::http::Connection;
+use crate::counters::Counters;
+
+/// Kept connections to one member. More than these are seldom in use at once: each is free again as soon
+/// as the member has taken the job.
+const KEPT: usize = 8;
+/// `EMFILE` and `ENFILE`: the process, or the machine, has no descriptor left.
+const NO_DESCRIPTOR: [i32; 2] = [24, 23];
+
+/// What all members share: the bounds on connections.
+pub struct Dialer {
+    /// One permit for each descriptor that connections to members may hold.
+    permits: Arc<Semaphore>,
+    connect_timeout: Duration,
+    /// A kept connection is closed after this, well before the member would.
+    idle: Duration,
+    counters: Rc<Counters>,
+}
+
+impl Dialer {
+    /// Bounds for `descriptors` connections to members that close theirs after `conn_idle_s`.
+    pub fn new(descriptors: usize, connect_timeout_s: f64, conn_idle_s: f64, counters: Rc<Counters>) -> Self {
+        Dialer {
+            permits: Arc::new(Semaphore::new(descriptors)),
+            connect_timeout: Duration::from_secs_f64(connect_timeout_s.clamp(0.001, 60.0)),
+            idle: Duration::from_secs_f64((conn_idle_s / 2.0).clamp(0.0, 3600.0)),
+            counters,
+        }
+    }
+
+    /// How long to wait for a member that should answer at once.
+    pub fn patience(&self) -> Duration {
+        self.connect_timeout
+    }
+}
+
+/// A connection to a member, good for one request at a time.
+pub struct MemberConnection {
+    /// The connection.
+    pub http: Connection,
+    address: SocketAddr,
+    _permit: OwnedSemaphorePermit,
+}
+
+/// One member of the pool.
+pub struct Member {
+    /// Its name in the pool.
+    pub name: String,
+    address: Cell<SocketAddr>,
+    active: Cell<bool>,
+    kept: RefCell<Vec<(Instant, MemberConnection)>>,
+    dialer: Rc<Dialer>,
+}
+
+impl Member {
+    /// A member at `address` that takes work if `active`.
+    pub fn new(name: String, address: SocketAddr, active: bool, dialer: Rc<Dialer>) -> Self {
+        let (address, active) = (Cell::new(address), Cell::new(active));
+        Member { name, address, active, kept: RefCell::default(), dialer }
+    }
+
+    /// Takes up what the pool says now. `restarted`: its process is another one, so kept connections are
+    /// dead; the same holds for a new address.
+    pub fn update(&self, address: SocketAddr, active: bool, restarted: bool) {
+        self.active.set(active);
+        if self.address.replace(address) != address || restarted {
+            self.kept.borrow_mut().clear();
+        }
+    }
+
+    /// It left the pool.
+    pub fn left(&self) {
+        self.active.set(false);
+        self.kept.borrow_mut().clear();
+    }
+
+    /// Whether it takes work.
+    pub fn is_active(&self) -> bool {
+        self.active.get()
+    }
+
+    /// How long to wait for it where it should answer at once.
+    pub fn patience(&self) -> Duration {
+        self.dialer.patience()
+    }
+
+    /// A kept connection on which nothing has arrived, else a new one, within the connect timeout.
+    ///
+    /// # Errors
+    /// Why there is none; nothing was sent then.
+    pub async fn connection(&self) -> Result<MemberConnection, ConnectionEnd> {
+        self.prune();
+        loop {
+            let Some((_, kept)) = self.kept.borrow_mut().pop() else { break };
+            // A close or a late answer that is waiting there would be taken for the next answer.
+            if kept.http.is_quiet() {
+                self.dialer.counters.member_reuses.add();
+                return Ok(kept);
+            }
+        }
+        let permit = Arc::clone(&self.dialer.permits).try_acquire_owned();
+        let permit = permit.map_err(|_| ConnectionEnd::NoDescriptor)?;
+        let address = self.address.get();
+        self.dialer.counters.member_connects.add();
+        match timeout(self.dialer.connect_timeout, Connection::connect(address)).await {
+            Ok(Ok(http)) => Ok(MemberConnection { http, address, _permit: permit }),
+            Ok(Err(error)) if error.raw_os_error().is_some_and(|e| NO_DESCRIPTOR.contains(&e)) => {
+                Err(ConnectionEnd::NoDescriptor)
+            }
+            Ok(Err(_)) => Err(ConnectionEnd::Refused),
+            Err(_) => Err(ConnectionEnd::ConnectTimedOut),
+        }
+    }
+
+    /// Keeps a connection whose last answer has been read whole.
+    pub fn keep(&self, connection: MemberConnection) {
+        let mut kept = self.kept.borrow_mut();
+        if kept.len() < KEPT && connection.address == self.address.get() && connection.http.is_quiet() {
+            kept.push((Instant::now(), connection));
+        }
+    }
+
+    /// Closes connections that stood idle for long: the member would close them, and a request that
+    /// crosses that close ends as a reset that may have run.
+    pub fn prune(&self) {
+        self.kept.borrow_mut().retain(|(since, _)| since.elapsed() < self.dialer.idle);
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,10 @@
+//! The scheduler on sockets. Network code speaks of rejects, transactions, server-side flows, the pool and
+//! its members; [`engine`] translates to the words of the decision module, once.
+
+pub mod client;
+pub mod discovery;
+pub mod end;
+pub mod engine;
+pub mod flow;
+pub mod http;
+pub mod member;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -94,6 +94,7 @@
             let aim_stretch = o.number(&key("aim_stretch"), 0.0)?;
             let deadline_s = o.number(&key("deadline_s"), 60.0)?;
             classes.push(Class {
+                name: o.get(&key("name"), String::new())?,
                 aim_s: o.number(&key("slo_s"), deadline_s)?,
                 stretch: stretches.get(i).copied().unwrap_or(0.0).max(aim_stretch),
                 deadline_s,
@@ -108,7 +109,7 @@
         let mut tenants = Vec::new();
         for i in 0..o.count("parties.count")? {
             let quota_per_s = o.number(&format!("parties.{i}.quota_per_s"), 0.0)?;
-            tenants.push(Tenant { quota_per_s });
+            tenants.push(Tenant { name: o.get(&format!("parties.{i}.name"), String::new())?, quota_per_s });
         }
         let fields: Vec<String> = o.list("report.fields")?;
         let hold_off = o.get("allowed.retry_after", false)?;
@@ -122,6 +123,12 @@
             tenants,
             over_share_worth: o.number("over_share_worth", d.over_share_worth)?,
             report: fields.iter().map(|name| o.report_field(name)).collect(),
+            report_names: fields,
+            zones: o.list("areas")?,
+            kinds: o.list("kinds")?,
+            connect_timeout_s: o.number("allowed.connect_timeout_s", d.connect_timeout_s)?,
+            conn_idle_s: o.number("allowed.conn_idle_s", d.conn_idle_s)?,
+            answer_slack_s: o.number("contract.answer_slack_s", d.answer_slack_s)?,
             tells_start: o.get("specifics.tells_start", d.tells_start)?,
             progress_s: o.number("specifics.progress_s", d.progress_s)?,
             max_attempts: o.get("allowed.send_cap", d.max_attempts)?,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -124,13 +124,7 @@
     let mut load = Load::default();
     for i in 0..buf.try_get_u8()? {
         let value = f64::from(buf.try_get_f32_le()?);
-        let value = value.is_finite().then_some(value);
-        match report.get(usize::from(i)) {
-            Some(ReportField::FreeSlots) => load.free_slots = value,
-            Some(ReportField::FreeMemory) => load.free_memory = value,
-            Some(ReportField::Queue) => load.queue = value,
-            Some(ReportField::Other) | None => {}
-        }
+        load.set(report.get(usize::from(i)).copied().unwrap_or(ReportField::Other), value);
     }
     Ok(load)
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,6 +6,7 @@
 
 pub fn class(effect: Effect, group: Group) -> Class {
     Class {
+        name: String::new(),
         aim_s: 0.5,
         stretch: 2.0,
         deadline_s: 10.0,
@@ -27,7 +28,7 @@
             class(Effect::Keyed, Group::Cell),
             class(Effect::Keyed, Group::All),
         ],
-        tenants: vec![Tenant { quota_per_s: 1000.0 }],
+        tenants: vec![Tenant { name: String::new(), quota_per_s: 1000.0 }],
         tick_s: 0.004,
         tells_start: true,
         max_attempts: 4,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -292,7 +292,10 @@
 #[test]
 fn traffic_over_a_quota_comes_last() {
     let mut s = settings();
-    s.tenants = vec![Tenant { quota_per_s: 3.0 }, Tenant { quota_per_s: 2.9 }];
+    s.tenants = vec![
+        Tenant { name: String::new(), quota_per_s: 3.0 },
+        Tenant { name: String::new(), quota_per_s: 2.9 },
+    ];
     let mut b = Bench::new(s, fleet(1));
     for id in 100..111 {
         b.send(Event::Request(request(id, 0, b.now)));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -139,7 +139,10 @@
 fn a_part_below_one_job_allows_for_chance() {
     // A tenant of 60 a second is 0.2 a second here: two jobs close together are no sign of more.
     let mut s = many();
-    s.tenants = vec![Tenant { quota_per_s: 60.0 }, Tenant { quota_per_s: 59.0 }];
+    s.tenants = vec![
+        Tenant { name: String::new(), quota_per_s: 60.0 },
+        Tenant { name: String::new(), quota_per_s: 59.0 },
+    ];
     let mut b = Bench::new(s, fleet(1));
     b.answer = Some(free(1.0));
     b.send(Event::Request(Request { tenant: 1, ..request(1, 0, b.now) }));
@@ -192,7 +195,7 @@
         assert_eq!(routes(&b.run(0.2)).len(), 1, "{index} of {dispatchers}");
     }
     let mut s = many();
-    s.tenants = vec![Tenant { quota_per_s: 0.0 }];
+    s.tenants = vec![Tenant { name: String::new(), quota_per_s: 0.0 }];
     s.classes[0].kind = Some(9);
     let mut b = Bench::new(s, fleet(3));
     b.answer = Some(free(1.0));
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -18,7 +18,7 @@
     );
     assert_eq!((s.classes[1].effect, s.classes[1].group), (Effect::Keyed, Group::Cell));
     assert_eq!((s.classes[1].window_s, s.classes[1].kind), (30.0, Some(1)));
-    assert_eq!(s.tenants, [Tenant { quota_per_s: 4.5 }]);
+    assert_eq!(s.tenants, [Tenant { name: String::new(), quota_per_s: 4.5 }]);
     assert_eq!(
         s.report,
         [ReportField::Queue, ReportField::Other, ReportField::FreeSlots, ReportField::FreeMemory]
