Take a job for given up only once its DELETE is written; keep a spare connection for it

Ruled out: overlap in time (answers to DELETEs took 0.05 to 0.5 ms elsewhere), the module's own order.

At fault: src/net/flow.rs, Flow::run, which ended such a flow as withdrawn whatever became of the DELETE. Now the flow stays out until the DELETE is written, a call-back ends it, or the deadline passes. So that it can be written, src/net/member.rs keeps a connection for each job that the member holds, up to four, opened beside the traffic; connections of a member that left stay for the same reason. Tests: what_an_unreachable_member_holds_is_not_sent_elsewhere, a_connection_is_spared_for_giving_up.

--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use tokio::sync::oneshot;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 use super::end::ConnectionEnd;
 use super::engine::Order;
@@ -19,6 +19,9 @@
 /// connection may become free again.
 const LATE_ANSWER: Duration = Duration::from_secs(1);
 
+/// Wait between two tries to reach a member that holds a job which is given up.
+const DELETE_AGAIN: Duration = Duration::from_millis(500);
+
 /// What a flow sends: passed on as the client wrote it.
 #[derive(Debug)]
 pub struct Payload {
@@ -67,7 +70,10 @@
             order = &mut self.order => (order, true),
             end = &mut attempt => match end {
                 Some(end) => return end,
-                None => ((&mut self.order).await, false),
+                None => {
+                    let _held = Member::hold(&self.member);
+                    ((&mut self.order).await, false)
+                }
             },
         };
         if !matches!(order, Ok(Order::Withdraw)) {
@@ -81,24 +87,48 @@
         drop(attempt); // before the answer, the close alone gives the job up
         match stage {
             Stage::Unsent => (ConnectionEnd::WithdrawnUnsent, None),
-            Stage::Waiting | Stage::Taken => {
-                self.counters.deletes.add();
-                // The answer shows that no second copy can overlap; a silent member gives none.
-                let _ = timeout(self.member.patience(), delete(&self.member, &self.payload)).await;
+            // The close has given it up. The member may have taken it this instant, hence the DELETE.
+            Stage::Waiting => {
+                self.delete().await;
                 (ConnectionEnd::Withdrawn, None)
             }
+            Stage::Taken => (self.give_up().await, None),
         }
     }
+
+    /// Gives up a job that the member has taken. That takes a DELETE whose last byte is written: to a member
+    /// that cannot be reached, the attempt stays out, and whatever is sent elsewhere meanwhile would be a
+    /// second copy. Either a call-back or the deadline ends it then.
+    async fn give_up(&self) -> ConnectionEnd {
+        while !self.delete().await {
+            let next = Instant::now() + DELETE_AGAIN;
+            if next >= self.deadline {
+                sleep_until(self.deadline).await;
+                return ConnectionEnd::DeadlinePassed;
+            }
+            sleep_until(next).await;
+        }
+        ConnectionEnd::Withdrawn
+    }
+
+    /// Sends a DELETE and waits for the answer, which shows that no second copy can overlap; a silent member
+    /// gives none. Whether the DELETE has been written.
+    async fn delete(&self) -> bool {
+        self.counters.deletes.add();
+        let mut written = false;
+        let _ = timeout(self.member.patience(), delete(&self.member, &self.payload, &mut written)).await;
+        written
+    }
 }
 
 /// Sends the job and reads the answer. `None`: the member has taken it, and call-backs tell the rest.
 async fn attempt(
-    member: &Member,
+    member: &Rc<Member>,
     payload: &Payload,
     deadline: Instant,
     stage: &mut Stage,
 ) -> Option<(ConnectionEnd, Option<String>)> {
-    let mut connection = match member.connection().await {
+    let mut connection = match Member::connection(member).await {
         Ok(connection) => connection,
         Err(end) => return Some((end, None)),
     };
@@ -153,12 +183,13 @@
 }
 
 /// Gives a job up at a member that may hold it. Whatever it answers, nothing more can be done.
-async fn delete(member: &Member, payload: &Payload) {
-    let Ok(mut connection) = member.connection().await else { return };
+async fn delete(member: &Rc<Member>, payload: &Payload, written: &mut bool) {
+    let Ok(mut connection) = Member::connection(member).await else { return };
     let head = b" HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 0\r\n\r\n";
     if connection.http.write(&[b"DELETE /jobs/", &payload.name, head]).await.is_err() {
         return;
     }
+    *written = true;
     if let Ok(head) = connection.http.response_head().await {
         finish(member, connection, &head).await;
     }
--- a/src/net/member.rs
+++ b/src/net/member.rs
@@ -16,6 +16,8 @@
 /// Kept connections to one member. More than these are seldom in use at once: each is free again as soon
 /// as the member has taken the job.
 const KEPT: usize = 8;
+/// The most connections that are kept for giving up jobs.
+const SPARES: usize = 4;
 /// `EMFILE` and `ENFILE`: the process, or the machine, has no descriptor left.
 const NO_DESCRIPTOR: [i32; 2] = [24, 23];
 
@@ -62,6 +64,10 @@
     active: Cell<bool>,
     started_s: Cell<f64>,
     kept: RefCell<Vec<(Instant, MemberConnection)>>,
+    /// Jobs of this scheduler that the member has taken.
+    held: Cell<usize>,
+    /// Spare connections that are coming up.
+    opening: Cell<usize>,
     dialer: Rc<Dialer>,
 }
 
@@ -74,6 +80,8 @@
             active: Cell::new(false),
             started_s: Cell::new(0.0),
             kept: RefCell::default(),
+            held: Cell::new(0),
+            opening: Cell::new(0),
             dialer,
         }
     }
@@ -88,10 +96,9 @@
         }
     }
 
-    /// It left the pool.
+    /// It left the pool. Its connections stay for as long as a flow may need one to give up its job.
     pub fn left(&self) {
         self.active.set(false);
-        self.kept.borrow_mut().clear();
     }
 
     /// Whether it takes work.
@@ -108,16 +115,21 @@
     ///
     /// # Errors
     /// Why there is none; nothing was sent then.
-    pub async fn connection(&self) -> Result<MemberConnection, ConnectionEnd> {
-        self.prune();
+    pub async fn connection(this: &Rc<Self>) -> Result<MemberConnection, ConnectionEnd> {
+        this.prune();
         loop {
-            let Some((_, kept)) = self.kept.borrow_mut().pop() else { break };
+            let Some((_, kept)) = this.kept.borrow_mut().pop() else { break };
             // A close or a late answer that is waiting there would be taken for the next answer.
             if kept.http.is_quiet() {
-                self.dialer.counters.member_reuses.add();
+                this.dialer.counters.member_reuses.add();
+                Self::stock(this);
                 return Ok(kept);
             }
         }
+        this.connect().await
+    }
+
+    async fn connect(&self) -> Result<MemberConnection, ConnectionEnd> {
         let permit = Arc::clone(&self.dialer.permits).try_acquire_owned();
         let permit = permit.map_err(|_| ConnectionEnd::NoDescriptor)?;
         let address = self.address.get();
@@ -132,6 +144,30 @@
         }
     }
 
+    /// Counts a job as taken by the member for as long as the value lives.
+    pub fn hold(this: &Rc<Self>) -> Held {
+        this.held.set(this.held.get() + 1);
+        Self::stock(this);
+        Held(Rc::clone(this))
+    }
+
+    /// Sees to it that a connection is kept for each job that the member holds. To give up a job at a member
+    /// that has fallen silent, a DELETE must be written, and by then no new connection comes up, while those
+    /// that are there are taken by requests that wait in vain. The spare ones come up beside the traffic.
+    fn stock(this: &Rc<Self>) {
+        let there = this.kept.borrow().len() + this.opening.get();
+        for _ in there..this.held.get().min(SPARES) {
+            this.opening.set(this.opening.get() + 1);
+            let this = Rc::clone(this);
+            tokio::task::spawn_local(async move {
+                let connection = this.connect().await;
+                this.opening.set(this.opening.get() - 1);
+                // Without it, giving up may take longer; the flow that needs one tries for itself.
+                let _ = connection.map(|connection| this.keep(connection));
+            });
+        }
+    }
+
     /// Keeps a connection whose last answer has been read whole.
     pub fn keep(&self, connection: MemberConnection) {
         let mut kept = self.kept.borrow_mut();
@@ -146,3 +182,12 @@
         self.kept.borrow_mut().retain(|(since, _)| since.elapsed() < self.dialer.idle);
     }
 }
+
+/// A job that the member has taken.
+pub struct Held(Rc<Member>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.held.set(self.0.held.get() - 1);
+    }
+}
--- a/tests/net/flows.rs
+++ b/tests/net/flows.rs
@@ -246,6 +246,50 @@
     );
 }
 
+/// Once, a job whose DELETE could not be sent was taken for given up and sent elsewhere: a second copy.
+#[test]
+fn what_an_unreachable_member_holds_is_not_sent_elsewhere() {
+    play(
+        &PLAIN,
+        "d expect new follow=1
+        d send 200 Transfer-Encoding: chunked
+        c1 send job r1
+        m1 expect r1
+        m1 send 202
+        c2 send call r1 m1 started
+        c2 expect 200
+        m1 close door
+        d send some m2:active
+        s wait deletes 2
+        m2 expect silence
+        c2 send call r1 m1 lost
+        c2 expect 200
+        m2 expect r1
+        m2 send 202
+        c2 send call r1 m2 done
+        c1 expect drawn",
+    );
+}
+
+/// A further connection comes up for the DELETE as soon as the only one is in use again.
+#[test]
+fn a_connection_is_spared_for_giving_up() {
+    play(
+        &PLAIN,
+        "c1 send job r1
+        m1 expect r1
+        m1 send 202
+        c2 send job r2
+        m1 expect r2
+        s wait member_connects 2
+        c1 close
+        m1 expect new DELETE /jobs/r1
+        m1 send 200
+        s wait member_reuses 2
+        s wait flows_ended_withdrawn 1",
+    );
+}
+
 #[rstest]
 #[case::refused("m1 close door\nc1 send job r1 draw-map 900", "refused")]
 #[case::silent_before_the_202("c1 send job r1 draw-map 900\nm1 expect r1", "withdrawn")]
