--- a/src/counters.rs
+++ b/src/counters.rs
@@ -58,8 +58,8 @@
     clients_left,
     /// Transactions rejected at the door: the scheduler is full, or is stopping.
     rejected_at_door,
-    /// Requests that could not be taken: malformed, too large, or of an unknown path, class or tenant.
-    requests_refused,
+    /// Messages that could not be taken: malformed, too large, or of an unknown path, class or tenant.
+    messages_rejected,
     /// Transactions whose id was in use already.
     duplicate_ids,
     /// Call-backs taken.
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -178,12 +178,12 @@
             }
             let head = match timeout(MESSAGE, connection.request_head()).await {
                 Ok(Ok(head)) => head,
-                Ok(Err(error)) => return self.refuse(connection, &error).await,
+                Ok(Err(error)) => return self.reject(connection, &error).await,
                 Err(_) => return,
             };
             let body = match timeout(MESSAGE, body(&mut connection, &head)).await {
                 Ok(Ok(body)) => body,
-                Ok(Err(error)) => return self.refuse(connection, &error).await,
+                Ok(Err(error)) => return self.reject(connection, &error).await,
                 Err(_) => return,
             };
             let _waiting = Waiting::new(&self.waiting); // until the answer is written
@@ -202,7 +202,7 @@
                 Ok(Asked::Ready) => Answer::new("200 OK", "ready\n"),
                 Ok(Asked::Counters) => Answer::new("200 OK", self.counters.to_string()),
                 Err(answer) => {
-                    self.counters.requests_refused.add();
+                    self.counters.messages_rejected.add();
                     answer
                 }
             };
@@ -231,14 +231,14 @@
 
     /// Tells the other side what is wrong with what it sent, then closes: where the next message would
     /// begin is not known any more.
-    async fn refuse(&self, mut connection: Connection, error: &HttpError) {
+    async fn reject(&self, mut connection: Connection, error: &HttpError) {
         let status = match error {
             HttpError::Io(_) | HttpError::Closed | HttpError::Truncated => return,
             HttpError::Malformed(_) => "400 Bad Request",
             HttpError::HeadTooLong => "431 Request Header Fields Too Large",
             HttpError::BodyTooLong => "413 Content Too Large",
         };
-        self.counters.requests_refused.add();
+        self.counters.messages_rejected.add();
         let answer = Answer::new(status, format!("{error}\n"));
         if self.write(&mut connection, answer, false).await.is_ok() {
             let _ = timeout(WRITE, connection.finish()).await;
@@ -307,7 +307,7 @@
             return Some(Answer::reject(COME_BACK_S));
         }
         let Some(transaction) = transaction else {
-            self.counters.requests_refused.add();
+            self.counters.messages_rejected.add();
             return Some(Answer::new("400 Bad Request", "a header is malformed\n"));
         };
         // The engine answers before this; the bound keeps a fault there from holding a client for good.
--- a/src/net/end.rs
+++ b/src/net/end.rs
@@ -14,7 +14,7 @@
     /// A `lost` call-back came: the member's agent saw the job die.
     Lost,
     /// The connection was refused.
-    Refused,
+    ConnectRefused,
     /// The connection did not come up in time.
     ConnectTimedOut,
     /// No descriptor was left for a connection.
@@ -42,7 +42,7 @@
         ConnectionEnd::Failed,
         ConnectionEnd::Returned,
         ConnectionEnd::Lost,
-        ConnectionEnd::Refused,
+        ConnectionEnd::ConnectRefused,
         ConnectionEnd::ConnectTimedOut,
         ConnectionEnd::NoDescriptor,
         ConnectionEnd::BrokeSending,
@@ -62,7 +62,7 @@
             ConnectionEnd::Failed | ConnectionEnd::Garbled => Outcome::Error,
             ConnectionEnd::Returned => Outcome::Full,
             ConnectionEnd::Lost | ConnectionEnd::BrokeWaiting => Outcome::Reset,
-            ConnectionEnd::Refused
+            ConnectionEnd::ConnectRefused
             | ConnectionEnd::ConnectTimedOut
             | ConnectionEnd::NoDescriptor
             | ConnectionEnd::BrokeSending => Outcome::ConnectFailed,
@@ -79,7 +79,7 @@
             ConnectionEnd::Failed => "failed",
             ConnectionEnd::Returned => "returned",
             ConnectionEnd::Lost => "lost",
-            ConnectionEnd::Refused => "refused",
+            ConnectionEnd::ConnectRefused => "connect_refused",
             ConnectionEnd::ConnectTimedOut => "connect_timed_out",
             ConnectionEnd::NoDescriptor => "no_descriptor",
             ConnectionEnd::BrokeSending => "broke_sending",
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -64,11 +64,11 @@
     pub async fn run(mut self) -> (ConnectionEnd, Option<String>) {
         let mut stage = Stage::Unsent;
         // Boxed, so that giving up can drop it, and with it the connection, on the spot.
-        let mut attempt = Box::pin(attempt(&self.member, &self.payload, self.deadline, &mut stage));
+        let mut exchange = Box::pin(exchange(&self.member, &self.payload, self.deadline, &mut stage));
         let (order, running) = tokio::select! {
             biased;
             order = &mut self.order => (order, true),
-            end = &mut attempt => match end {
+            end = &mut exchange => match end {
                 Some(end) => return end,
                 None => {
                     let _held = Member::hold(&self.member);
@@ -80,11 +80,11 @@
             // A call-back may overtake the answer. What that answer says is of no more interest, but once it
             // is read the connection is free; one that has been read must not be waited for again.
             if running {
-                let _ = timeout(LATE_ANSWER, attempt).await;
+                let _ = timeout(LATE_ANSWER, exchange).await;
             }
             return (ConnectionEnd::Done, None);
         }
-        drop(attempt); // before the answer, the close alone gives the job up
+        drop(exchange); // before the answer, the close alone gives the job up
         match stage {
             Stage::Unsent => (ConnectionEnd::WithdrawnUnsent, None),
             // The close has given it up. The member may have taken it this instant, hence the DELETE.
@@ -122,7 +122,7 @@
 }
 
 /// Sends the job and reads the answer. `None`: the member has taken it, and call-backs tell the rest.
-async fn attempt(
+async fn exchange(
     member: &Rc<Member>,
     payload: &Payload,
     deadline: Instant,
--- a/src/net/member.rs
+++ b/src/net/member.rs
@@ -139,7 +139,7 @@
             Ok(Err(error)) if error.raw_os_error().is_some_and(|e| NO_DESCRIPTOR.contains(&e)) => {
                 Err(ConnectionEnd::NoDescriptor)
             }
-            Ok(Err(_)) => Err(ConnectionEnd::Refused),
+            Ok(Err(_)) => Err(ConnectionEnd::ConnectRefused),
             Err(_) => Err(ConnectionEnd::ConnectTimedOut),
         }
     }
