Take up the configuration anew on SIGHUP instead of dying of it

Checked: main.rs installed a handler for SIGTERM only, so SIGHUP had its default effect. Ruled out: the watch itself, which resumes by version, but only ever at the address it was built with.

Now net/reload.rs reads the file beside the traffic and hands the settings to the front, the engine (through its queue, ahead of any transaction numbered by them), the module and the bounds on connections. Classes, tenants, zones and kinds keep their numbers. The watch drops the old address at once and asks the new one for everything. A file that makes no sense changes nothing. Semaphores gave way to budgets whose bound can move.

--- a/src/main.rs
+++ b/src/main.rs
@@ -11,8 +11,10 @@
 use chutesaddle::net::discovery::Watch;
 use chutesaddle::net::engine::Engine;
 use chutesaddle::net::member::Dialer;
+use chutesaddle::net::reload::{descriptors, Reload};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
@@ -48,28 +50,42 @@
 
 async fn run() -> Result<(), StartError> {
     let path = std::env::var_os("NODE_CONFIG").ok_or(StartError::NoConfig)?;
-    let config = Config::load(&PathBuf::from(path))?;
+    let path = PathBuf::from(path);
+    let config = Config::load(&path)?;
+    // Before anything answers: without a handler either signal ends the process on the spot.
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
+    let hangup = signal(SignalKind::hangup()).map_err(StartError::Signal)?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|error| StartError::Listen(config.listen, error))?;
 
     let counters = Rc::new(Counters::default());
     let settings = config.settings;
-    // Of the descriptors, six in ten are for clients and call-backs and three for members; the rest is for
-    // discovery, the listener, the runtime and the standard streams.
-    let (clients, members) = (config.sockets * 6 / 10, config.sockets * 3 / 10);
+    let (clients, members) = descriptors(config.sockets);
     let (connect_timeout_s, conn_idle_s) = (settings.connect_timeout_s, settings.conn_idle_s);
     let dialer = Rc::new(Dialer::new(members, connect_timeout_s, conn_idle_s, Rc::clone(&counters)));
-    let (engine, queue) = Engine::new(settings.clone(), config.seed, dialer, Rc::clone(&counters));
+    let (engine, queue) =
+        Engine::new(settings.clone(), config.seed, Rc::clone(&dialer), Rc::clone(&counters));
     let watch = Watch {
         address: config.discovery,
         version: config.known.version,
         queue: queue.clone(),
         counters: Rc::clone(&counters),
     };
-    let front = Rc::new(Front::new(settings, queue, Rc::clone(&counters), clients));
+    let front = Rc::new(Front::new(settings.clone(), queue.clone(), Rc::clone(&counters), clients));
+    let (discovery, addresses) = watch::channel(config.discovery);
+    let reload = Reload {
+        path,
+        name: config.name.clone(),
+        listen: config.listen,
+        settings,
+        discovery,
+        front: Rc::clone(&front),
+        queue,
+        dialer,
+    };
     let mut engine = spawn_local(engine.run(config.known));
-    spawn_local(watch.run());
+    spawn_local(watch.run(addresses));
+    spawn_local(reload.run(hangup));
     let address = listener.local_addr().unwrap_or(config.listen);
     spawn_local(Rc::clone(&front).run(listener));
     eprintln!("chutesaddle: {} serves on {address}", config.name);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -5,15 +5,15 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use simd_json::prelude::*;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use super::budget::Budget;
 use super::end::ConnectionEnd;
 use super::engine::{CallBack, Message, News, Queue, Reply, Transaction};
 use super::flow::Payload;
@@ -36,13 +36,11 @@
 
 /// The front of one scheduler.
 pub struct Front {
-    settings: Settings,
+    settings: RefCell<Rc<Settings>>,
     queue: Queue,
     counters: Rc<Counters>,
-    /// One permit for each connection that may be open.
-    connections: Arc<Semaphore>,
-    /// Transactions that may wait at once: the rest of the connections stays for call-backs.
-    most_waiting: usize,
+    /// Connections that may be open.
+    connections: Rc<Budget>,
     /// Messages that have been read and whose answer is not written yet: nearly all are transactions.
     waiting: Cell<usize>,
     /// Connections between two messages, by the order in which they became idle.
@@ -102,11 +100,10 @@
     /// A front that holds at most `connections` open.
     pub fn new(settings: Settings, queue: Queue, counters: Rc<Counters>, connections: usize) -> Self {
         Front {
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             queue,
             counters,
-            connections: Arc::new(Semaphore::new(connections)),
-            most_waiting: connections - connections / 4,
+            connections: Budget::new(connections),
             waiting: Cell::new(0),
             idle: RefCell::default(),
             idled: Cell::new(0),
@@ -115,6 +112,21 @@
         }
     }
 
+    /// Takes up other settings and another bound for whatever comes from now on.
+    pub fn configure(&self, settings: Settings, connections: usize) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+        self.connections.set_most(connections);
+    }
+
+    /// Transactions that may wait at once: the rest of the connections stays for call-backs.
+    fn most_waiting(&self) -> usize {
+        self.connections.most() - self.connections.most() / 4
+    }
+
+    fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
     /// From now on connections are closed after their next answer.
     pub fn say_close(&self) {
         self.closing.set(true);
@@ -136,10 +148,10 @@
     /// Accepts connections for good.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let permit = loop {
-                match Arc::clone(&self.connections).try_acquire_owned() {
-                    Ok(permit) => break permit,
-                    Err(_) => {
+            let share = loop {
+                match Budget::take(&self.connections) {
+                    Some(share) => break share,
+                    None => {
                         self.close_idle();
                         sleep(RETRY).await;
                     }
@@ -151,7 +163,7 @@
                     let front = Rc::clone(&self);
                     tokio::task::spawn_local(async move {
                         front.serve(Connection::new(stream)).await;
-                        drop(permit);
+                        drop(share);
                     });
                 }
                 Err(error) => {
@@ -260,6 +272,7 @@
 
     /// Finds what a request asks for; else the answer that says why there is nothing.
     fn asked(&self, head: &Head) -> Result<Asked, Answer> {
+        let settings = self.settings();
         let target = std::str::from_utf8(&head.target).unwrap_or_default();
         let path = target.split(['?', '#']).next().unwrap_or_default();
         let (asked, method) = match path {
@@ -268,7 +281,7 @@
             "/callback" => (Asked::CallBack, "POST"),
             _ => {
                 let name = path.strip_prefix('/').and_then(|path| path.split('/').next()).unwrap_or_default();
-                let classes = self.settings.classes.iter();
+                let classes = settings.classes.iter();
                 let class = classes.enumerate().find(|(_, class)| is_named(&class.name, name));
                 let class = class.ok_or_else(|| Answer::new("404 Not Found", "no such path or class\n"))?.0;
                 (Asked::Job { class, tenant: 0 }, "POST")
@@ -283,12 +296,10 @@
             return bad("X-Request-Id is missing\n");
         }
         // Without its key, a repeat of such a job would take effect twice.
-        if self.settings.classes[class].effect == Effect::Keyed
-            && head.headers.raw("idempotency-key").is_none()
-        {
+        if settings.classes[class].effect == Effect::Keyed && head.headers.raw("idempotency-key").is_none() {
             return bad("Idempotency-Key is missing\n");
         }
-        let tenants = &self.settings.tenants;
+        let tenants = &settings.tenants;
         let tenant = match head.headers.get("x-tenant") {
             _ if tenants.is_empty() => 0,
             Some(name) => match tenants.iter().position(|tenant| is_named(&tenant.name, name)) {
@@ -302,7 +313,7 @@
 
     /// Takes a transaction and waits for its answer; `None` if the client has left.
     async fn job(&self, connection: &mut Connection, transaction: Option<Transaction>) -> Option<Answer> {
-        if self.stopped.get() || self.waiting.get() > self.most_waiting {
+        if self.stopped.get() || self.waiting.get() > self.most_waiting() {
             self.counters.rejected_at_door.add();
             return Some(Answer::reject(COME_BACK_S));
         }
@@ -311,7 +322,7 @@
             return Some(Answer::new("400 Bad Request", "a header is malformed\n"));
         };
         // The engine answers before this; the bound keeps a fault there from holding a client for good.
-        let last = transaction.deadline + Duration::from_secs_f64(self.settings.answer_slack_s);
+        let last = transaction.deadline + Duration::from_secs_f64(self.settings().answer_slack_s);
         let mut pending = self.queue.submit(transaction);
         tokio::select! {
             biased;
@@ -336,7 +347,7 @@
                 pairs.filter(|pair| pair.0.trim() == name).find_map(|p| p.1.trim().parse::<f64>().ok());
             value.filter(|value| value.is_finite() && *value >= 0.0)
         };
-        let deadline_ms = number("x-deadline-ms")?.unwrap_or(self.settings.classes[class].deadline_s * 1e3);
+        let deadline_ms = number("x-deadline-ms")?.unwrap_or(self.settings().classes[class].deadline_s * 1e3);
         Some(Transaction {
             class,
             tenant,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 use simd_json::prelude::*;
 use simd_json::tape::Value;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use super::engine::{Message, Queue};
@@ -120,6 +121,13 @@
     LongLine,
 }
 
+/// Waits for another address; for good, once there can be none.
+async fn changed(addresses: &mut watch::Receiver<SocketAddr>) {
+    if addresses.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// A watch of discovery, started anew whenever it ends.
 pub struct Watch {
     /// Where discovery answers.
@@ -133,12 +141,23 @@
 }
 
 impl Watch {
-    /// Follows discovery for good. While it is silent, the pool stays as it was last told.
-    pub async fn run(mut self) {
+    /// Follows discovery for good, at the address that counts at the time. While it is silent, the pool
+    /// stays as it was last told.
+    pub async fn run(mut self, mut addresses: watch::Receiver<SocketAddr>) {
         let (mut backoff, mut lost) = (BACKOFF.0, false);
         loop {
+            let address = *addresses.borrow_and_update();
+            if address != self.address {
+                // Its versions are its own. Until it speaks, what the old one told last still holds.
+                eprintln!("chutesaddle: discovery is followed at {address} from now on");
+                (self.address, self.version, backoff, lost) = (address, 0, BACKOFF.0, false);
+            }
             let mut heard = false;
-            let Err(error) = self.follow(&mut heard).await;
+            let error = tokio::select! {
+                biased; // what the old address says once another counts is old news
+                () = changed(&mut addresses) => continue,
+                Err(error) = self.follow(&mut heard) => error,
+            };
             self.counters.pool_reconnects.add();
             if heard {
                 (backoff, lost) = (BACKOFF.0, false);
@@ -147,7 +166,10 @@
             if !std::mem::replace(&mut lost, true) {
                 eprintln!("chutesaddle: discovery lost, the pool stays as last told: {error}");
             }
-            sleep(backoff).await;
+            tokio::select! {
+                () = sleep(backoff) => {}
+                () = changed(&mut addresses) => {}
+            }
             backoff = (backoff * 2).min(BACKOFF.1);
         }
     }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -109,6 +109,8 @@
     FlowEnded(RequestId, usize, ConnectionEnd, Option<String>),
     /// The pool has changed.
     Pool(PoolUpdate),
+    /// The settings have changed; they keep the numbers of classes, tenants, zones and kinds.
+    Settings(Box<Settings>),
 }
 
 /// The way to the engine. It has no bound of its own: each connection has at most one message in it at a
@@ -303,6 +305,10 @@
                 self.ended(id, attempt, end, load);
             }
             Message::Pool(update) => self.pool(update, false),
+            Message::Settings(settings) => {
+                self.dispatcher.configure((*settings).clone());
+                self.settings = *settings;
+            }
         }
     }
 
--- a/src/net/member.rs
+++ b/src/net/member.rs
@@ -3,12 +3,11 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout, Instant};
 
+use super::budget::{Budget, Share};
 use super::end::ConnectionEnd;
 use super::http::Connection;
 use crate::counters::Counters;
@@ -23,28 +22,33 @@
 
 /// What all members share: the bounds on connections.
 pub struct Dialer {
-    /// One permit for each descriptor that connections to members may hold.
-    permits: Arc<Semaphore>,
-    connect_timeout: Duration,
+    /// Descriptors that connections to members may hold.
+    budget: Rc<Budget>,
+    connect_timeout: Cell<Duration>,
     /// A kept connection is closed after this, well before the member would.
-    idle: Duration,
+    idle: Cell<Duration>,
     counters: Rc<Counters>,
 }
 
 impl Dialer {
     /// Bounds for `descriptors` connections to members that close theirs after `conn_idle_s`.
     pub fn new(descriptors: usize, connect_timeout_s: f64, conn_idle_s: f64, counters: Rc<Counters>) -> Self {
-        Dialer {
-            permits: Arc::new(Semaphore::new(descriptors)),
-            connect_timeout: Duration::from_secs_f64(connect_timeout_s.clamp(0.001, 60.0)),
-            idle: Duration::from_secs_f64((conn_idle_s / 2.0).clamp(0.0, 3600.0)),
-            counters,
-        }
+        let (budget, connect_timeout, idle) = (Budget::new(descriptors), Cell::default(), Cell::default());
+        let dialer = Dialer { budget, connect_timeout, idle, counters };
+        dialer.configure(descriptors, connect_timeout_s, conn_idle_s);
+        dialer
+    }
+
+    /// Takes up new bounds, for the connections that are there as well.
+    pub fn configure(&self, descriptors: usize, connect_timeout_s: f64, conn_idle_s: f64) {
+        self.budget.set_most(descriptors);
+        self.connect_timeout.set(Duration::from_secs_f64(connect_timeout_s.clamp(0.001, 60.0)));
+        self.idle.set(Duration::from_secs_f64((conn_idle_s / 2.0).clamp(0.0, 3600.0)));
     }
 
     /// How long to wait for a member that should answer at once.
     pub fn patience(&self) -> Duration {
-        self.connect_timeout
+        self.connect_timeout.get()
     }
 }
 
@@ -53,7 +57,7 @@
     /// The connection.
     pub http: Connection,
     address: SocketAddr,
-    _permit: OwnedSemaphorePermit,
+    _share: Share,
 }
 
 /// One member of the pool.
@@ -130,12 +134,11 @@
     }
 
     async fn connect(&self) -> Result<MemberConnection, ConnectionEnd> {
-        let permit = Arc::clone(&self.dialer.permits).try_acquire_owned();
-        let permit = permit.map_err(|_| ConnectionEnd::NoDescriptor)?;
+        let share = Budget::take(&self.dialer.budget).ok_or(ConnectionEnd::NoDescriptor)?;
         let address = self.address.get();
         self.dialer.counters.member_connects.add();
-        match timeout(self.dialer.connect_timeout, Connection::connect(address)).await {
-            Ok(Ok(http)) => Ok(MemberConnection { http, address, _permit: permit }),
+        match timeout(self.dialer.patience(), Connection::connect(address)).await {
+            Ok(Ok(http)) => Ok(MemberConnection { http, address, _share: share }),
             Ok(Err(error)) if error.raw_os_error().is_some_and(|e| NO_DESCRIPTOR.contains(&e)) => {
                 Err(ConnectionEnd::NoDescriptor)
             }
@@ -179,7 +182,7 @@
     /// Closes connections that stood idle for long: the member would close them, and a request that
     /// crosses that close ends as a reset that may have run.
     pub fn prune(&self) {
-        self.kept.borrow_mut().retain(|(since, _)| since.elapsed() < self.dialer.idle);
+        self.kept.borrow_mut().retain(|(since, _)| since.elapsed() < self.dialer.idle.get());
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler on sockets. Network code speaks of rejects, transactions, server-side flows, the pool and
 //! its members; [`engine`] translates to the words of the decision module, once.
 
+pub mod budget;
 pub mod client;
 pub mod discovery;
 pub mod end;
@@ -8,3 +9,4 @@
 pub mod flow;
 pub mod http;
 pub mod member;
+pub mod reload;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,18 +56,25 @@
 impl Dispatcher {
     /// A dispatcher that has seen nothing yet. The seed only breaks ties, so that dispatchers differ.
     pub fn new(s: Settings, seed: u64) -> Self {
-        let s = Settings { dispatchers: s.dispatchers.max(1), ..s };
-        let part = |t: &Tenant| t.quota_per_s / s.dispatchers as f64;
-        let quota = |t: &Tenant| Bucket::full(part(t), by_chance(QUOTA_BURST * part(t)));
-        Dispatcher {
-            round: (ROUND_PER_AIM * s.extremes().0.min(1.0)).max(2.0 * s.tick_s).max(1e-3),
-            longest_left: vec![0.0; s.classes.len()],
-            quotas: s.tenants.iter().map(quota).collect(),
-            wake_at: f64::INFINITY,
-            seed,
-            s,
-            ..Dispatcher::default()
+        let mut dispatcher = Dispatcher { wake_at: f64::INFINITY, seed, ..Dispatcher::default() };
+        dispatcher.configure(s);
+        dispatcher
+    }
+
+    /// Takes up other settings. What has a number keeps it; jobs and all that was learnt stay.
+    pub fn configure(&mut self, s: Settings) {
+        self.s = Settings { dispatchers: s.dispatchers.max(1), ..s };
+        self.round = (ROUND_PER_AIM * self.s.extremes().0.min(1.0)).max(2.0 * self.s.tick_s).max(1e-3);
+        self.longest_left.resize(self.s.classes.len(), 0.0);
+        for (i, tenant) in self.s.tenants.iter().enumerate() {
+            let part = tenant.quota_per_s / self.s.dispatchers as f64;
+            let quota = Bucket::full(part, by_chance(QUOTA_BURST * part));
+            match self.quotas.get_mut(i) {
+                Some(q) => (q.per_s, q.most, q.left) = (quota.per_s, quota.most, q.left.min(quota.most)),
+                None => self.quotas.push(quota),
+            }
         }
+        self.offers = if self.sees() { self.farm.ring.clone() } else { Vec::new() };
     }
 
     /// Takes one event and appends what is to be done. News of what is no longer held is passed over.
@@ -581,13 +588,3 @@
         out.push(Action::Route { request: id, worker });
     }
 }
-
-/// What a part may come to by chance: two deviations of a Poisson count more. Parts may be under one job.
-fn by_chance(expected: f64) -> f64 {
-    expected + 2.0 * expected.sqrt().max(1.0)
-}
-
-/// A number that differs between dispatchers for the same worker.
-fn spread(seed: u64, id: WorkerId) -> u64 {
-    (seed ^ id.0).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(32).wrapping_mul(0x9E37_79B9_7F4A_7C15)
-}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -145,3 +145,50 @@
         })
     }
 }
+
+impl Settings {
+    /// These settings followed by `new` ones while the process runs. Classes, tenants, zones and kinds are
+    /// known by number to what is under way, so each name keeps its number. What the new settings do not
+    /// name any more stays until a restart; the second value says which lists that concerns.
+    pub fn followed_by(&self, new: Settings) -> (Settings, Vec<&'static str>) {
+        let zone = new.zones.get(usize::from(new.zone)).cloned();
+        let kinds = new.kinds.clone();
+        let mut kept = Vec::new();
+        let mut settings = Settings {
+            classes: follow(&self.classes, new.classes, |c| &c.name, "grades", &mut kept),
+            tenants: follow(&self.tenants, new.tenants, |t| &t.name, "parties", &mut kept),
+            zones: follow(&self.zones, new.zones, |name| name, "areas", &mut kept),
+            kinds: follow(&self.kinds, new.kinds, |name| name, "kinds", &mut kept),
+            ..new
+        };
+        let number = |names: &[String], name: &String| names.iter().position(|known| known == name);
+        let zone = zone.and_then(|zone| number(&settings.zones, &zone));
+        settings.zone = zone.and_then(|zone| u16::try_from(zone).ok()).unwrap_or(settings.zone);
+        for class in &mut settings.classes {
+            let name = class.kind.and_then(|kind| kinds.get(kind));
+            class.kind = name.and_then(|name| number(&settings.kinds, name)).or(class.kind);
+        }
+        (settings, kept)
+    }
+}
+
+fn follow<T: Clone>(
+    old: &[T],
+    mut new: Vec<T>,
+    name: impl Fn(&T) -> &String,
+    list: &'static str,
+    kept: &mut Vec<&'static str>,
+) -> Vec<T> {
+    let mut items = Vec::with_capacity(new.len());
+    for item in old {
+        match new.iter().position(|other| name(other) == name(item)) {
+            Some(i) => items.push(new.remove(i)),
+            None => {
+                items.push(item.clone());
+                kept.extend((!kept.contains(&list)).then_some(list));
+            }
+        }
+    }
+    items.extend(new);
+    items
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -337,3 +337,13 @@
         self.held.retain(|id| all.get(id).is_some_and(|j| j.held && !j.ended));
     }
 }
+
+/// What a part may come to by chance: two deviations of a Poisson count more. Parts may be under one job.
+pub(crate) fn by_chance(expected: f64) -> f64 {
+    expected + 2.0 * expected.sqrt().max(1.0)
+}
+
+/// A number that differs between dispatchers for the same worker.
+pub(crate) fn spread(seed: u64, id: WorkerId) -> u64 {
+    (seed ^ id.0).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(32).wrapping_mul(0x9E37_79B9_7F4A_7C15)
+}
--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -4,4 +4,5 @@
 mod discovery;
 mod flows;
 mod lifecycle;
+mod reload;
 mod scenario;
--- /dev/null
+++ b/tests/net/reload.rs
@@ -0,0 +1,119 @@
+//! SIGHUP: the configuration is taken up anew while the scheduler serves.
+
+use rstest::rstest;
+
+use crate::scenario::{play, PLAIN};
+
+/// The new address numbers its lists in its own way; what the old one still says is old news.
+#[rstest]
+#[case::by_changes("false")]
+#[case::by_the_whole_list("true")]
+fn discovery_is_followed_to_its_new_address(#[case] full: &str) {
+    play(
+        &PLAIN,
+        &format!(
+            r#"d expect new since=41
+            d send 200 Transfer-Encoding: chunked
+            c1 send job r1
+            m1 expect r1
+            m1 send 202
+            s send config {{d}} => {{d2}}
+            s send HUP
+            d2 expect new GET /v1/endpoints?follow=1&since=0
+            d expect eof
+            d2 send 200 Transfer-Encoding: chunked
+            d2 send line {{"version":3,"full":{full},"servers":[{{"id":"m1","state":"left"}},{{"id":"m2","addr":"{{m2}}","state":"active"}}]}}
+            s wait pool_updates 1
+            c2 send job r2
+            m2 expect r2
+            c3 send call r1 m1 done
+            c1 expect 200 & drawn
+            d2 close
+            d2 expect new since=3"#
+        ),
+    );
+}
+
+#[rstest]
+#[case::no_json("s send config {\"name\" => {{\"name\"", "not JSON")]
+#[case::no_address("s send config {d} => nowhere", "no usable \"discovery\"")]
+#[case::no_number("s send config \"slo_s\":3 => \"slo_s\":\"soon\"", "cannot read value \"soon\"")]
+fn a_file_that_makes_no_sense_changes_nothing(#[case] change: &str, #[case] why: &str) {
+    play(
+        &PLAIN,
+        &format!(
+            "c1 send job r1
+            m1 expect r1
+            m1 send 202
+            {change}
+            s send HUP
+            s expect log the configuration stays as it is
+            s expect log {why}
+            c2 send call r1 m1 done
+            c1 expect 200
+            s send TERM
+            s expect exit 0"
+        ),
+    );
+}
+
+#[rstest]
+#[case::a_setting(
+    "s send config \"max_retry_after_s\":2 => \"max_retry_after_s\":1
+    s send HUP
+    s expect log is taken up
+    m1 close door
+    c1 send job r1 draw-map 900
+    c1 expect 503 & Retry-After: 1.000"
+)]
+#[case::a_class_more_and_another_order(
+    "c1 send job r1
+    m1 expect r1
+    s send config \"grades\":[{ => \"grades\":[{\"name\":\"paint-map\",\"effect\":\"repeatable\"},{
+    s send HUP
+    s expect log is taken up
+    c2 send job r2 paint-map
+    m1 expect new r2
+    c3 send call r2 m1 done
+    c2 expect 200
+    c3 send call r1 m1 done
+    c3 expect 200
+    c3 expect 200
+    c1 expect 200"
+)]
+#[case::fewer_descriptors(
+    "s send config \"sockets\":1024 => \"sockets\":7
+    s send HUP
+    s expect log is taken up
+    c1 send job r1
+    c2 send job r2
+    c3 send job r3
+    s wait transactions_taken 3
+    c4 send job r4
+    c4 expect 503 & Retry-After: 0.500"
+)]
+#[case::what_cannot_change(
+    "s send config \"draw-map\" => \"sketch\"
+    s send config \"listen\":\"127.0.0.1:0\" => \"listen\":\"127.0.0.1:1\"
+    s send HUP
+    s expect log these change with a restart only: grades, listen
+    c1 send job r1
+    m1 expect r1"
+)]
+#[case::many_signals_and_a_drain(
+    "c1 send job r1
+    m1 expect r1
+    m1 send 202
+    s send HUP
+    s send HUP
+    s send TERM
+    s send HUP
+    s expect log stopping
+    s send HUP
+    c2 send call r1 m1 done
+    c1 expect 200
+    s expect exit 0"
+)]
+fn what_the_file_says_now_holds(#[case] scenario: &str) {
+    play(&PLAIN, scenario);
+}
--- a/tests/net/scenario.rs
+++ b/tests/net/scenario.rs
@@ -2,12 +2,13 @@
 //! scenarios in a small language. A line is `ACTOR VERB TEXT`; the verbs are send, expect, close, wait.
 //!
 //! Actors: `c1`, `c2` .. are connections to the scheduler, of clients and of members that call back; `m1`,
-//! `m2` .. are members and `d` is discovery, each with the connection it accepted last; `s` is the
+//! `m2` .. are members, `d` and `d2` are discovery, each with the connection it accepted last; `s` is the
 //! scheduler itself.
 //!
 //! - `send TEXT`: a message; `|` ends a line of the head, `||` the head. `raw TEXT` is sent as it stands,
 //!   with `\r` and `\n`. Short forms: `job ID CLASS MS HEADERS`, `call ID FROM STATE RESULT`, `202 HEADERS`,
-//!   and of discovery `line TEXT`, `full m1:active` and `some m1:leaving:-5` (started 5 s ago). `s send TERM`.
+//!   and of discovery `line TEXT`, `full m1:active` and `some m1:leaving:-5` (started 5 s ago). `s send TERM`
+//!   signals the scheduler, `s send config OLD => NEW` changes its file; `{d2}` stands for an address.
 //! - `expect TEXT`: the next message holds each part, parts set apart by ` & `; `expect new TEXT`: on a new
 //!   connection. Also `eof`, `silence` (nothing has come), and for the scheduler `exit 0` and `log TEXT`.
 //! - `close`: the connection; `close door`: the listener as well.
@@ -57,6 +58,7 @@
 struct Stage {
     scheduler: Child,
     address: String,
+    file: String,
     log: Arc<Mutex<String>>,
     doors: HashMap<String, TcpListener>,
     addresses: HashMap<String, String>,
@@ -76,7 +78,7 @@
     fn new(world: &World) -> Self {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let door = || TcpListener::bind("127.0.0.1:0").unwrap();
-        let doors: HashMap<_, _> = ["d", "m1", "m2"].map(|name| (name.to_owned(), door())).into();
+        let doors: HashMap<_, _> = ["d", "d2", "m1", "m2"].map(|name| (name.to_owned(), door())).into();
         let at = |door: &TcpListener| door.local_addr().unwrap().to_string();
         let addresses: HashMap<_, _> = doors.iter().map(|(name, door)| (name.clone(), at(door))).collect();
         let config = format!(
@@ -96,11 +98,11 @@
         );
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let name = format!("{}/{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
-        std::fs::write(&name, config).unwrap();
+        std::fs::write(&name, &config).unwrap();
         let limit = format!("ulimit -n {}; exec {}", world.descriptors, env!("CARGO_BIN_EXE_chutesaddle"));
         let mut command = Command::new("sh");
         command.args(["-c", &limit]);
-        let mut scheduler = command.env("NODE_CONFIG", name).stderr(Stdio::piped()).spawn().unwrap();
+        let mut scheduler = command.env("NODE_CONFIG", &name).stderr(Stdio::piped()).spawn().unwrap();
         let (log, mut stderr) = (Arc::new(Mutex::new(String::new())), scheduler.stderr.take().unwrap());
         let written = Arc::clone(&log);
         std::thread::spawn(move || {
@@ -115,11 +117,18 @@
         });
         let (wires, silent) = (HashMap::new(), Vec::new());
         let address = address.expect("the scheduler starts");
-        Stage { scheduler, address, log, doors, addresses, wires, silent, version: 41 }
+        Stage { scheduler, address, file: name, log, doors, addresses, wires, silent, version: 41 }
     }
 
     fn step(&mut self, actor: &str, verb: &str, text: &str) -> Step {
         match (actor, verb) {
+            ("s", "send") if text.starts_with("config ") => {
+                let (old, new) = text[7..].split_once(" => ").ok_or("an old and a new text")?;
+                let (old, new) = (self.addressed(old), self.addressed(new));
+                let config = std::fs::read_to_string(&self.file).map_err(|e| e.to_string())?;
+                assert!(config.contains(&old), "no {old:?} in the configuration");
+                std::fs::write(&self.file, config.replace(&old, &new)).map_err(|e| e.to_string())
+            }
             ("s", "send") => {
                 let kill = format!("kill -s {text} {}", self.scheduler.id());
                 Command::new("sh").args(["-c", &kill]).status().map_err(|e| e.to_string())?;
@@ -208,6 +217,11 @@
         line.parse().ok()
     }
 
+    fn addressed(&self, text: &str) -> String {
+        let addresses = self.addresses.iter();
+        addresses.fold(text.to_owned(), |text, (name, at)| text.replace(&format!("{{{name}}}"), at))
+    }
+
     /// The bytes that a text stands for.
     fn message(&mut self, text: &str) -> Vec<u8> {
         let words: Vec<&str> = text.splitn(5, ' ').collect();
@@ -226,7 +240,7 @@
                 self.version += 1;
                 chunk(&list(self.version, words[0] == "full", &text[5..], &self.addresses))
             }
-            "line" => chunk(&text[5..]),
+            "line" => chunk(&self.addressed(&text[5..])),
             status if status.len() == 3 && status.parse::<u16>().is_ok() => {
                 head_and_body(&format!("HTTP/1.1 {status} X|{}||", text[3..].trim()))
             }
