Answer or close bad clients within 2.4 s, and let silent connections make room first

Checked, with a probe that logged each request: 6,766 of the 7,450 that were no call-backs asked for classes that do not exist and then kept their connection; hundreds more sent nothing or half a head. Ruled out: the engine's queue and the tenants' quotas, since none of these reached the engine, and CPU, of which 0.6 s was used.

At fault in client.rs: a first byte was waited for 120 s, head and body 10 s each; Front::run freed one idle connection per 10 ms and none on which half a message had come; a 404 left its connection open; finish() read 128 KB of a 60 MB body and then reset the answer away.

Now the first message has 2.4 s from the accept, later ones from their first byte. A new connection takes the place of one that sent nothing useful, then an idle one, then a half-read one (net/spare.rs), at once. An error ends its connection; unread input is passed over slowly for 2 s behind a half-close. net/request.rs reads headers strictly: extras, whole deadlines, one of each, and a name that cannot say more in the path of a DELETE.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -44,6 +44,8 @@
 counters! {
     /// Client and call-back connections accepted.
     connections_accepted,
+    /// Connections closed to make room for new ones.
+    connections_shed,
     /// Accepts that failed, for want of descriptors above all.
     accept_failures,
     /// Transactions handed to the engine.
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -3,17 +3,20 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use tokio::sync::Notify;
+
 /// A bound and what is in use of it.
 #[derive(Debug)]
 pub struct Budget {
     most: Cell<usize>,
     used: Cell<usize>,
+    freed: Notify,
 }
 
 impl Budget {
     /// A budget of which nothing is in use.
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Budget { most: Cell::new(most), used: Cell::new(0) })
+        Rc::new(Budget { most: Cell::new(most), used: Cell::new(0), freed: Notify::new() })
     }
 
     /// Takes one, if there is one.
@@ -25,6 +28,11 @@
         Some(Share(Rc::clone(this)))
     }
 
+    /// Waits until one has been given back.
+    pub async fn freed(&self) {
+        self.freed.notified().await;
+    }
+
     /// The bound.
     pub fn most(&self) -> usize {
         self.most.get()
@@ -43,5 +51,6 @@
 impl Drop for Share {
     fn drop(&mut self) {
         self.0.used.set(self.0.used.get() - 1);
+        self.0.freed.notify_one();
     }
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,37 +2,41 @@
 //! on one listener. It turns HTTP into the engine's messages and replies into HTTP, and decides nothing.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use simd_json::prelude::*;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::sync::Mutex;
+use tokio::task::yield_now;
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
-use super::budget::Budget;
-use super::end::ConnectionEnd;
-use super::engine::{CallBack, Message, News, Queue, Reply, Transaction};
-use super::flow::Payload;
+use super::budget::{Budget, Share};
+use super::engine::{Message, Queue, Reply, Transaction};
 use super::http::{Connection, Head, HttpError};
-use crate::api::{Effect, Settings};
+use super::request::{self, Asked, RequestError};
+use super::spare::{Spares, Worth};
+use crate::api::Settings;
 use crate::counters::Counters;
 
 /// A connection that stands idle for longer is closed.
 const IDLE: Duration = Duration::from_secs(120);
-/// A message that has begun must have arrived within this time.
-const MESSAGE: Duration = Duration::from_secs(10);
+/// A message must have arrived whole within this time: the first one on a connection from the accept, so
+/// that neither silence nor a byte now and then holds it; later ones from their first byte.
+const MESSAGE: Duration = Duration::from_millis(2400);
 /// An answer must have been taken off within this time.
 const WRITE: Duration = Duration::from_secs(5);
+/// How long what still arrives after the last answer is read.
+const LINGER: Duration = Duration::from_secs(2);
+/// Wait between two reads of that, over all connections: it must not take the time of the others.
+const PASS_OVER: Duration = Duration::from_millis(1);
+/// How much is read of that at a time.
+const PASS_OVER_BYTES: usize = 64 * 1024;
 /// How long to wait for room, or after a failed accept, before trying again.
 const RETRY: Duration = Duration::from_millis(10);
 /// What the door says to a client that it turns away.
 const COME_BACK_S: f64 = 0.5;
-/// The longest wait that a client may state.
-const LONGEST_MS: f64 = 3_600_000.0;
 
 /// The front of one scheduler.
 pub struct Front {
@@ -41,11 +45,12 @@
     counters: Rc<Counters>,
     /// Connections that may be open.
     connections: Rc<Budget>,
+    /// Those that can be done without when there is no room for a new one.
+    spares: Spares,
     /// Messages that have been read and whose answer is not written yet: nearly all are transactions.
     waiting: Cell<usize>,
-    /// Connections between two messages, by the order in which they became idle.
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
-    idled: Cell<u64>,
+    /// Where input that nobody wants is read to, by one connection at a time.
+    scratch: Mutex<Vec<u8>>,
     closing: Cell<bool>,
     stopped: Cell<bool>,
 }
@@ -88,12 +93,14 @@
     }
 }
 
-/// What is asked for.
-enum Asked {
-    Job { class: usize, tenant: usize },
-    CallBack,
-    Ready,
-    Counters,
+impl From<RequestError> for Answer {
+    fn from(error: RequestError) -> Self {
+        let answer = Answer::new(error.status(), format!("{error}\n"));
+        match error {
+            RequestError::Method(allowed) => answer.header("Allow", allowed),
+            _ => answer,
+        }
+    }
 }
 
 impl Front {
@@ -104,9 +111,9 @@
             queue,
             counters,
             connections: Budget::new(connections),
+            spares: Spares::default(),
             waiting: Cell::new(0),
-            idle: RefCell::default(),
-            idled: Cell::new(0),
+            scratch: Mutex::new(vec![0; PASS_OVER_BYTES]),
             closing: Cell::new(false),
             stopped: Cell::new(false),
         }
@@ -137,7 +144,7 @@
     pub fn stop_taking(&self) {
         self.closing.set(true);
         self.stopped.set(true);
-        while self.close_idle() {}
+        while self.spares.close_one(Worth::Idle) {}
     }
 
     /// Messages whose answer has not been written.
@@ -145,18 +152,11 @@
         self.waiting.get()
     }
 
-    /// Accepts connections for good.
+    /// Accepts connections for good, at once: one that waits outside could be a call-back, or a client whose
+    /// time runs.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         loop {
-            let share = loop {
-                match Budget::take(&self.connections) {
-                    Some(share) => break share,
-                    None => {
-                        self.close_idle();
-                        sleep(RETRY).await;
-                    }
-                }
-            };
+            let share = self.room().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
                     self.counters.connections_accepted.add();
@@ -171,74 +171,99 @@
                     if self.counters.accept_failures.add().is_power_of_two() {
                         eprintln!("chutesaddle: cannot accept a connection: {error}");
                     }
-                    self.close_idle();
+                    self.spares.close_one(Worth::Busy);
                     sleep(RETRY).await;
                 }
             }
         }
     }
 
-    /// Closes the connection that has been idle for longest; false if there is none.
-    fn close_idle(&self) -> bool {
-        self.idle.borrow_mut().pop_first().inspect(|(_, close)| close.notify_one()).is_some()
+    /// Room for one more connection, which the one of least worth makes if need be.
+    async fn room(&self) -> Share {
+        loop {
+            if let Some(share) = Budget::take(&self.connections) {
+                return share;
+            }
+            if self.spares.close_one(Worth::Busy) {
+                self.counters.connections_shed.add();
+            }
+            // One that was asked to close may have been sent a message that instant, and stay.
+            let _ = timeout(RETRY, self.connections.freed()).await;
+        }
     }
 
     async fn serve(&self, mut connection: Connection) {
+        let (mut due, mut worth) = (Instant::now() + MESSAGE, Worth::None);
         loop {
-            if !connection.has_input() && !self.next_message(&mut connection).await {
+            let idle = if worth == Worth::None { due } else { Instant::now() + IDLE };
+            if !connection.has_input() && !self.next_message(&mut connection, worth, idle).await {
                 return;
             }
-            let head = match timeout(MESSAGE, connection.request_head()).await {
-                Ok(Ok(head)) => head,
-                Ok(Err(error)) => return self.reject(connection, &error).await,
-                Err(_) => return,
-            };
-            let body = match timeout(MESSAGE, body(&mut connection, &head)).await {
-                Ok(Ok(body)) => body,
-                Ok(Err(error)) => return self.reject(connection, &error).await,
-                Err(_) => return,
+            if worth != Worth::None {
+                due = Instant::now() + MESSAGE;
+            }
+            let (head, body) = match self.message(&mut connection, due).await {
+                Some(Ok(message)) => message,
+                Some(Err(error)) => return self.reject(connection, &error).await,
+                None => return,
             };
             let _waiting = Waiting::new(&self.waiting); // until the answer is written
-            let answer = match self.asked(&head) {
-                Ok(Asked::Job { class, tenant }) => {
-                    let transaction = self.transaction(&head, body, class, tenant);
-                    match self.job(&mut connection, transaction).await {
-                        Some(answer) => answer,
-                        None => return,
-                    }
-                }
+            let settings = self.settings();
+            let answer = match request::read(&head, &body, &settings) {
+                Ok(Asked::Job(transaction)) => match self.job(&mut connection, transaction).await {
+                    Some(answer) => answer,
+                    None => return,
+                },
                 Ok(Asked::CallBack) => self.call_back(body),
                 Ok(Asked::Ready) if self.stopped.get() => {
                     Answer::new("503 Service Unavailable", "stopping\n")
                 }
                 Ok(Asked::Ready) => Answer::new("200 OK", "ready\n"),
                 Ok(Asked::Counters) => Answer::new("200 OK", self.counters.to_string()),
-                Err(answer) => {
+                Err(error) => {
                     self.counters.messages_rejected.add();
-                    answer
+                    error.into()
                 }
             };
-            match self.write(&mut connection, answer, head.keep_alive).await {
-                Ok(true) => {}
+            // Who sends what cannot be used is not to keep a place, nor to have what it sent behind that run.
+            let keep = head.keep_alive && !answer.status.starts_with('4');
+            match self.write(&mut connection, answer, keep).await {
+                Ok(true) => worth = Worth::Idle,
                 Ok(false) => break,
                 Err(_) => return,
             }
         }
-        let _ = timeout(WRITE, connection.finish()).await;
+        self.linger(connection).await;
     }
 
     /// Waits for the first byte of a message; false if the connection is to be closed instead.
-    async fn next_message(&self, connection: &mut Connection) -> bool {
-        let close = Rc::new(Notify::new());
-        let number = self.idled.replace(self.idled.get() + 1);
-        self.idle.borrow_mut().insert(number, Rc::clone(&close));
-        let arrived = tokio::select! {
+    async fn next_message(&self, connection: &mut Connection, worth: Worth, until: Instant) -> bool {
+        let spare = self.spares.list(worth);
+        tokio::select! {
             biased;
-            read = timeout(IDLE, connection.fill()) => matches!(read, Ok(Ok(bytes)) if bytes > 0),
-            () = close.notified() => false,
-        };
-        self.idle.borrow_mut().remove(&number);
-        arrived
+            read = timeout_at(until, connection.fill()) => matches!(read, Ok(Ok(bytes)) if bytes > 0),
+            () = spare.closes() => {
+                // A request that has arrived, but has not been seen yet, is not to be lost to the close.
+                yield_now().await;
+                connection.arrived()
+            }
+        }
+    }
+
+    /// Reads a message; `None` if its place is needed for another.
+    async fn message(
+        &self,
+        connection: &mut Connection,
+        due: Instant,
+    ) -> Option<Result<(Head, Bytes), HttpError>> {
+        let spare = self.spares.list(Worth::Busy);
+        tokio::select! {
+            biased;
+            message = timeout_at(due, message(connection)) => {
+                Some(message.unwrap_or(Err(HttpError::TooSlow)))
+            }
+            () = spare.closes() => None,
+        }
     }
 
     /// Tells the other side what is wrong with what it sent, then closes: where the next message would
@@ -249,11 +274,32 @@
             HttpError::Malformed(_) => "400 Bad Request",
             HttpError::HeadTooLong => "431 Request Header Fields Too Large",
             HttpError::BodyTooLong => "413 Content Too Large",
+            HttpError::TooSlow => "408 Request Timeout",
         };
         self.counters.messages_rejected.add();
         let answer = Answer::new(status, format!("{error}\n"));
         if self.write(&mut connection, answer, false).await.is_ok() {
-            let _ = timeout(WRITE, connection.finish()).await;
+            self.linger(connection).await;
+        }
+    }
+
+    /// Closes after the last answer, which a reset for unread input would destroy: what is still under way
+    /// is read first, for a while, slowly, and without keeping any of it.
+    async fn linger(&self, mut connection: Connection) {
+        connection.half_close().await;
+        let spare = self.spares.list(Worth::None);
+        let pass_over = async {
+            while connection.readable().await.is_ok() {
+                let mut scratch = self.scratch.lock().await;
+                if !connection.pass_over(&mut scratch) {
+                    return;
+                }
+                sleep(PASS_OVER).await;
+            }
+        };
+        tokio::select! {
+            _ = timeout(LINGER, pass_over) => {}
+            () = spare.closes() => {}
         }
     }
 
@@ -270,57 +316,12 @@
         }
     }
 
-    /// Finds what a request asks for; else the answer that says why there is nothing.
-    fn asked(&self, head: &Head) -> Result<Asked, Answer> {
-        let settings = self.settings();
-        let target = std::str::from_utf8(&head.target).unwrap_or_default();
-        let path = target.split(['?', '#']).next().unwrap_or_default();
-        let (asked, method) = match path {
-            "/ready" => (Asked::Ready, "GET"),
-            "/counters" => (Asked::Counters, "GET"),
-            "/callback" => (Asked::CallBack, "POST"),
-            _ => {
-                let name = path.strip_prefix('/').and_then(|path| path.split('/').next()).unwrap_or_default();
-                let classes = settings.classes.iter();
-                let class = classes.enumerate().find(|(_, class)| is_named(&class.name, name));
-                let class = class.ok_or_else(|| Answer::new("404 Not Found", "no such path or class\n"))?.0;
-                (Asked::Job { class, tenant: 0 }, "POST")
-            }
-        };
-        if head.method != method {
-            return Err(Answer::new("405 Method Not Allowed", "wrong method\n").header("Allow", method));
-        }
-        let Asked::Job { class, .. } = asked else { return Ok(asked) };
-        let bad = |what: &'static str| Err(Answer::new("400 Bad Request", what));
-        if head.headers.raw("x-request-id").is_none_or(|id| id.is_empty()) {
-            return bad("X-Request-Id is missing\n");
-        }
-        // Without its key, a repeat of such a job would take effect twice.
-        if settings.classes[class].effect == Effect::Keyed && head.headers.raw("idempotency-key").is_none() {
-            return bad("Idempotency-Key is missing\n");
-        }
-        let tenants = &settings.tenants;
-        let tenant = match head.headers.get("x-tenant") {
-            _ if tenants.is_empty() => 0,
-            Some(name) => match tenants.iter().position(|tenant| is_named(&tenant.name, name)) {
-                Some(tenant) => tenant,
-                None => return Err(Answer::new("403 Forbidden", "no such tenant\n")),
-            },
-            None => return bad("X-Tenant is missing\n"),
-        };
-        Ok(Asked::Job { class, tenant })
-    }
-
     /// Takes a transaction and waits for its answer; `None` if the client has left.
-    async fn job(&self, connection: &mut Connection, transaction: Option<Transaction>) -> Option<Answer> {
+    async fn job(&self, connection: &mut Connection, transaction: Box<Transaction>) -> Option<Answer> {
         if self.stopped.get() || self.waiting.get() > self.most_waiting() {
             self.counters.rejected_at_door.add();
             return Some(Answer::reject(COME_BACK_S));
         }
-        let Some(transaction) = transaction else {
-            self.counters.messages_rejected.add();
-            return Some(Answer::new("400 Bad Request", "a header is malformed\n"));
-        };
         // The engine answers before this; the bound keeps a fault there from holding a client for good.
         let last = transaction.deadline + Duration::from_secs_f64(self.settings().answer_slack_s);
         let mut pending = self.queue.submit(transaction);
@@ -332,41 +333,8 @@
         }
     }
 
-    fn transaction(&self, head: &Head, body: Bytes, class: usize, tenant: usize) -> Option<Transaction> {
-        let number = |name: &str| match head.headers.raw(name) {
-            None => Some(None),
-            Some(_) => {
-                let value: f64 = head.headers.get(name)?.trim().parse().ok()?;
-                (value.is_finite() && value >= 0.0).then_some(Some(value))
-            }
-        };
-        let extras = head.headers.get("x-extras").unwrap_or_default();
-        let extra = |name: &str| {
-            let pairs = extras.split(',').filter_map(|pair| pair.split_once('='));
-            let value =
-                pairs.filter(|pair| pair.0.trim() == name).find_map(|p| p.1.trim().parse::<f64>().ok());
-            value.filter(|value| value.is_finite() && *value >= 0.0)
-        };
-        let deadline_ms = number("x-deadline-ms")?.unwrap_or(self.settings().classes[class].deadline_s * 1e3);
-        Some(Transaction {
-            class,
-            tenant,
-            deadline: Instant::now() + Duration::from_secs_f64(deadline_ms.min(LONGEST_MS) / 1e3),
-            slots: extra("slots").unwrap_or(1.0),
-            memory: extra("memory").unwrap_or(0.0),
-            hint: number("x-cost-hint")?.map(|us| us / 1e6),
-            payload: Payload {
-                name: head.headers.raw("x-request-id")?.clone(),
-                target: head.target.clone(),
-                key: head.headers.raw("idempotency-key").cloned(),
-                content_type: head.headers.raw("content-type").cloned(),
-                body,
-            },
-        })
-    }
-
     fn call_back(&self, body: Bytes) -> Answer {
-        match read_call_back(body) {
+        match request::read_call_back(body) {
             Some(call_back) => {
                 self.queue.send(Message::CallBack(call_back));
                 Answer::new("200 OK", "")
@@ -397,46 +365,11 @@
     }
 }
 
-/// The settings write names with `_` for spaces and commas; headers and paths may carry either form.
-fn is_named(known: &str, name: &str) -> bool {
-    !known.is_empty() && (known == name || known == name.replace([' ', ','], "_"))
-}
-
-async fn body(connection: &mut Connection, head: &Head) -> Result<Bytes, HttpError> {
-    if head.expects_continue() && !connection.has_input() {
+async fn message(connection: &mut Connection) -> Result<(Head, Bytes), HttpError> {
+    let head = connection.request_head().await?;
+    if head.expects_continue() && !connection.has_input() && !head.is_too_long() {
         connection.write(&[b"HTTP/1.1 100 Continue\r\n\r\n"]).await?;
     }
-    connection.body(head).await
-}
-
-/// Reads a call-back. The tape is flat, so that no nesting, however deep, can exhaust the stack.
-fn read_call_back(body: Bytes) -> Option<CallBack> {
-    let mut text = Vec::from(body);
-    let tape = simd_json::to_tape(&mut text).ok()?;
-    let value = tape.as_value();
-    let news = match value.get_str("state")? {
-        "started" => News::Started,
-        "running" => News::Progress(value.get("share")?.cast_f64()?),
-        "done" => News::Done(match value.get("result") {
-            // A result is text; anything else is passed on in the form in which JSON writes it.
-            Some(result) => match result.as_str() {
-                Some(text) => Bytes::copy_from_slice(text.as_bytes()),
-                None => result.encode().into(),
-            },
-            None => return None,
-        }),
-        "failed" => News::Ended(ConnectionEnd::Failed),
-        "returned" => News::Ended(ConnectionEnd::Returned),
-        "lost" => News::Ended(ConnectionEnd::Lost),
-        _ => return None,
-    };
-    // Not `get_object`: simd-json 0.15 cuts its slice of the tape one node short and panics on the last.
-    let load = value.get("load").and_then(|load| load.as_object());
-    let load = load.iter().flat_map(|load| load.iter());
-    Some(CallBack {
-        name: Bytes::copy_from_slice(value.get_str("id")?.as_bytes()),
-        from: value.get_str("from")?.to_owned(),
-        news,
-        load: load.filter_map(|(name, value)| Some((name.to_owned(), value.cast_f64()?))).collect(),
-    })
+    let body = connection.body(&head).await?;
+    Ok((head, body))
 }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -128,11 +128,11 @@
     }
 
     /// Hands in a transaction.
-    pub fn submit(&self, transaction: Transaction) -> Pending {
+    pub fn submit(&self, transaction: Box<Transaction>) -> Pending {
         let id = RequestId(self.next.get());
         self.next.set(id.0.wrapping_add(1));
         let (sender, reply) = oneshot::channel();
-        self.send(Message::Transaction(id, Box::new(transaction), sender));
+        self.send(Message::Transaction(id, transaction, sender));
         Pending { id, reply, queue: self.clone(), answered: false }
     }
 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -39,6 +39,9 @@
     /// The body is longer than this side takes.
     #[error("the body is too long")]
     BodyTooLong,
+    /// The message did not arrive in time.
+    #[error("the message did not arrive in time")]
+    TooSlow,
 }
 
 impl From<httparse::Error> for HttpError {
@@ -65,10 +68,20 @@
         self.0.iter().find(|h| h.0.eq_ignore_ascii_case(name.as_bytes())).map(|h| &h.1)
     }
 
+    /// How many headers of this name there are.
+    pub fn count(&self, name: &str) -> usize {
+        self.all(name).count()
+    }
+
     fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Bytes> {
         self.0.iter().filter(|h| h.0.eq_ignore_ascii_case(name.as_bytes())).map(|h| &h.1)
     }
 
+    /// Whether there is one header of this name, with just this word as its value.
+    fn is_only(&self, name: &str, word: &str) -> bool {
+        self.count(name) == 1 && self.get(name).is_some_and(|value| value.trim().eq_ignore_ascii_case(word))
+    }
+
     fn has_token(&self, name: &str, token: &str) -> bool {
         let mut values = self.all(name).filter_map(|value| std::str::from_utf8(value).ok());
         values.any(|value| value.split(',').any(|item| item.trim().eq_ignore_ascii_case(token)))
@@ -105,6 +118,11 @@
         self.headers.has_token("expect", "100-continue")
     }
 
+    /// The head itself says that the body is over [`BODY_BYTES`].
+    pub fn is_too_long(&self) -> bool {
+        matches!(self.framing, Framing::Length(length) if length > BODY_BYTES)
+    }
+
     fn frame(&mut self, version: u8) -> Result<(), HttpError> {
         self.keep_alive = version == 1 && !self.headers.has_token("connection", "close");
         let response = self.status != 0;
@@ -116,7 +134,9 @@
         let chunked = self.headers.raw("transfer-encoding").is_some();
         self.framing = if chunked {
             // Both framings in one message are how requests are smuggled past a front.
-            if length.is_some() || !self.headers.has_token("transfer-encoding", "chunked") {
+            // So is a coding that one side knows and the other does not, or an old version that has none.
+            let plain = length.is_none() && version == 1;
+            if !plain || !self.headers.is_only("transfer-encoding", "chunked") {
                 return Err(HttpError::Malformed("transfer encoding"));
             }
             Framing::Chunked
@@ -162,6 +182,12 @@
         self.buffer.is_empty() && self.stream.try_read(&mut [0; 1]).is_err_and(would_block)
     }
 
+    /// Takes up what has arrived, without waiting for more; false if that is nothing.
+    pub fn arrived(&mut self) -> bool {
+        self.buffer.reserve(READ_BYTES);
+        self.stream.try_read_buf(&mut self.buffer).is_ok_and(|read| read > 0)
+    }
+
     /// Whether a message has begun to arrive.
     pub fn has_input(&self) -> bool {
         !self.buffer.is_empty()
@@ -257,7 +283,7 @@
     /// [`HttpError::BodyTooLong`] as soon as it is known to be over [`BODY_BYTES`].
     pub async fn body(&mut self, head: &Head) -> Result<Bytes, HttpError> {
         match head.framing {
-            Framing::Length(length) if length > BODY_BYTES => Err(HttpError::BodyTooLong),
+            Framing::Length(_) if head.is_too_long() => Err(HttpError::BodyTooLong),
             Framing::Length(length) => self.take(length).await,
             Framing::Chunked => {
                 let mut body = BytesMut::new();
@@ -341,17 +367,25 @@
         Ok(())
     }
 
-    /// Says that nothing more follows, and reads what is still under way up to a bound, so that the last
-    /// answer is not lost to a reset for unread input. The caller bounds the wait.
-    pub async fn finish(mut self) {
-        let _ = self.stream.shutdown().await; // it closes either way
-        let mut passed = 0;
-        while passed < 2 * BODY_BYTES {
-            self.buffer.clear();
-            match self.fill().await {
-                Ok(read) if read > 0 => passed += read,
-                _ => return,
-            }
+    /// Says that nothing more follows from here.
+    pub async fn half_close(&mut self) {
+        let _ = self.stream.shutdown().await; // what still arrives is passed over either way
+        self.buffer = BytesMut::new();
+    }
+
+    /// Waits until there is something to read, or the other side's end.
+    ///
+    /// # Errors
+    /// As the system reports them.
+    pub async fn readable(&self) -> io::Result<()> {
+        self.stream.readable().await
+    }
+
+    /// Reads what is there into `scratch` and passes over it; false at the other side's end.
+    pub fn pass_over(&self, scratch: &mut [u8]) -> bool {
+        match self.stream.try_read(scratch) {
+            Ok(read) => read > 0,
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,3 +10,5 @@
 pub mod http;
 pub mod member;
 pub mod reload;
+pub mod request;
+pub mod spare;
--- a/tests/net/clients.rs
+++ b/tests/net/clients.rs
@@ -17,6 +17,24 @@
     "raw POST /draw-map/a HTTP/1.1\\r\\nContent-Length: 1\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n",
     "400"
 )]
+#[case::unequal_lengths_in_one("raw POST /draw-map/a HTTP/1.1\\r\\nContent-Length: 1, 2\\r\\n\\r\\n", "400")]
+#[case::negative_length("raw POST /draw-map/a HTTP/1.1\\r\\nContent-Length: -1\\r\\n\\r\\n", "400")]
+#[case::huge_length(
+    "raw POST /draw-map/a HTTP/1.1\\r\\nContent-Length: 99999999999999999999999\\r\\n\\r\\n",
+    "400"
+)]
+#[case::another_coding(
+    "raw POST /draw-map/a HTTP/1.1\\r\\nTransfer-Encoding: gzip, chunked\\r\\n\\r\\n0\\r\\n\\r\\n",
+    "400"
+)]
+#[case::coding_twice(
+    "raw POST /draw-map/a HTTP/1.1\\r\\nTransfer-Encoding: chunked\\r\\nTransfer-Encoding: x\\r\\n\\r\\n0\\r\\n\\r\\n",
+    "400"
+)]
+#[case::coding_of_an_old_version(
+    "raw POST /draw-map/a HTTP/1.0\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n\\r\\n",
+    "400"
+)]
 #[case::bad_chunk("raw POST /draw-map/a HTTP/1.1\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\n", "400")]
 #[case::no_id("POST /draw-map/a HTTP/1.1|X-Tenant: acme||", "400")]
 #[case::no_key("POST /publish-map/a HTTP/1.1|X-Tenant: acme|X-Request-Id: r||", "400")]
@@ -27,6 +45,17 @@
     "POST /draw-map/a HTTP/1.1|X-Request-Id: r|X-Tenant: acme|X-Deadline-Ms: inf||",
     "400"
 )]
+#[case::negative_deadline("job r draw-map -5", "400")]
+#[case::broken_deadline("job r draw-map 1.5", "400")]
+#[case::two_ids("job r draw-map 8000 1|X-Request-Id: s", "400")]
+#[case::an_id_that_says_more("job r\tHTTP/1.1 draw-map", "400")]
+#[case::hint_that_is_no_number("job r draw-map 8000 1|X-Cost-Hint: NaN", "400")]
+#[case::extras_that_are_no_number("job r draw-map 8000 1|X-Extras: slots=many", "400")]
+#[case::extras_without_a_figure("job r draw-map 8000 1|X-Extras: slots", "400")]
+#[case::negative_extras("job r draw-map 8000 1|X-Extras: slots=1,memory=-1", "400")]
+#[case::endless_extras("job r draw-map 8000 1|X-Extras: other=inf", "400")]
+#[case::no_slots("job r draw-map 8000 1|X-Extras: slots=0", "400")]
+#[case::more_slots_than_there_are("job r draw-map 8000 1|X-Extras: slots=1e300", "400")]
 #[case::unknown_class("job r1 paint-map", "404")]
 #[case::unknown_path("GET /nowhere HTTP/1.1||", "404")]
 #[case::no_path("GET * HTTP/1.1||", "404")]
@@ -43,7 +72,10 @@
         &PLAIN,
         &format!(
             "c1 send {request}
-            c1 expect HTTP/1.1 {status}
+            c1 send job r0
+            c1 expect HTTP/1.1 {status} & Connection: close
+            c1 expect eof
+            m1 expect silence
             c2 send job r1
             m1 expect r1
             c3 send call r1 m1 done
@@ -99,10 +131,12 @@
     m1 expect r1
     c2 send job r1
     c2 expect HTTP/1.1 409
+    c2 expect eof
     m1 send 202
+    m1 expect silence
     c3 send call r1 m1 done
     c1 expect 200
-    c2 send job r1
+    c4 send job r1
     m1 expect r1"
 )]
 #[case::sent_ahead(
@@ -156,3 +190,45 @@
     scenario += "c31 send call r0 m1 done\nc0 expect drawn";
     play(&world, &scenario);
 }
+
+/// What counts is the whole message from the accept on; once, silence was borne for two minutes, and each
+/// part of a message might take ten seconds.
+#[rstest]
+#[case::with_nothing("raw ", "c1 expect eof")]
+#[case::with_half_a_head("raw POST /draw-map/a HT", "c1 expect 408 & Connection: close\nc1 expect eof")]
+#[case::with_half_a_body(
+    "raw POST /draw-map/a HTTP/1.1\\r\\nContent-Length: 9\\r\\n\\r\\nmap",
+    "c1 expect 408 & Connection: close\nc1 expect eof"
+)]
+fn a_client_that_keeps_others_waiting_is_closed(#[case] request: &str, #[case] end: &str) {
+    play(&PLAIN, &format!("c1 send {request}\n{end}"));
+}
+
+/// The answer to a body that is too long is there before the body has been sent, and survives it.
+#[test]
+fn an_oversized_body_is_answered_and_read_away() {
+    let body = "x".repeat(6_000_000);
+    play(
+        &PLAIN,
+        &format!(
+            "c1 send raw POST /draw-map/a HTTP/1.1\\r\\nContent-Length: 60000000\\r\\n\\r\\n{body}
+            c1 expect 413 & Connection: close
+            c1 expect eof"
+        ),
+    );
+}
+
+/// Silent connections come by the hundred: they make room for each other, not the useful ones for them.
+#[test]
+fn connections_that_never_sent_anything_go_first() {
+    let mut scenario = String::from("c0 send job r0\nm1 expect r0\nm1 send 202\n");
+    scenario += "c99 send call r0 m1 done\nc99 expect 200\nc0 expect drawn\n";
+    (1..=30).for_each(|n| scenario += &format!("c{n} send raw \n"));
+    scenario += "s wait connections_shed 12
+        c0 send job r1
+        m1 expect r1
+        c99 send call r1 m1 done
+        c99 expect 200
+        c0 expect drawn";
+    play(&World { sockets: 20, ..PLAIN }, &scenario);
+}
--- a/tests/net/scenario.rs
+++ b/tests/net/scenario.rs
@@ -227,7 +227,7 @@
         let words: Vec<&str> = text.splitn(5, ' ').collect();
         let word = |i: usize, default| words.get(i).copied().filter(|w| !w.is_empty()).unwrap_or(default);
         match words[0] {
-            "raw" => text[4..].replace("\\r", "\r").replace("\\n", "\n").into_bytes(),
+            "raw" => text.get(4..).unwrap_or_default().replace("\\r", "\r").replace("\\n", "\n").into_bytes(),
             "job" => head_and_body(&format!(
                 "POST /{}/o1?v=2 HTTP/1.1|X-Request-Id: {}|X-Tenant: acme|X-Deadline-Ms: {}|X-Cost-Hint: 10000|Idempotency-Key: k{}||map of {1}",
                 word(2, "draw-map"), word(1, ""), word(3, "8000"), word(4, "1"),
