--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -184,11 +184,24 @@
             if let Some(share) = Budget::take(&self.connections) {
                 return share;
             }
+            // Those that were accepted last are listed once they have had their turn; without them, useful
+            // ones would go in their place.
+            yield_now().await;
             if self.spares.close_one(Worth::Busy) {
                 self.counters.connections_shed.add();
             }
             // One that was asked to close may have been sent a message that instant, and stay.
-            let _ = timeout(RETRY, self.connections.freed()).await;
+            let freed = async {
+                loop {
+                    self.connections.freed().await;
+                    if let Some(share) = Budget::take(&self.connections) {
+                        return share;
+                    }
+                }
+            };
+            if let Ok(share) = timeout(RETRY, freed).await {
+                return share;
+            }
         }
     }
 
