Send a DELETE again that nobody read, and do not suspect a worker for one reset

Checked, with a probe that logged each send, DELETE and end: members reset new connections as well. In flow.rs a DELETE on such a one counted as given up though it had been reset unread, and the job went elsewhere. In rules.rs one reset was enough for `doubt`, though the member's other jobs got on meanwhile. Ruled out: dead members, which refuse the next connect (that is still a doubt at once), and the FIN of an idle close.

Now a DELETE without an answer, unless that is only late, counts as not sent and goes out again after 0.2 s; a worker is doubted at the second reset with nothing heard from it in between.

--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -20,7 +20,7 @@
 const LATE_ANSWER: Duration = Duration::from_secs(1);
 
 /// Wait between two tries to reach a member that holds a job which is given up.
-const DELETE_AGAIN: Duration = Duration::from_millis(500);
+const DELETE_AGAIN: Duration = Duration::from_millis(200);
 
 /// What a flow sends: passed on as the client wrote it.
 #[derive(Debug)]
@@ -186,7 +186,8 @@
 }
 
 /// Gives a job up at a member that may hold it. Whatever it answers, nothing more can be done. On a kept
-/// connection that turns out to be gone, nobody has read the DELETE: it goes out again on another.
+/// connection that turns out to be gone, nobody has read the DELETE: it goes out again on another. Where a
+/// new one breaks as well, the job stays out: what is sent elsewhere then would be a second copy.
 async fn delete(member: &Rc<Member>, payload: &Payload, written: &mut bool) {
     let head = b" HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 0\r\n\r\n";
     while let Ok(mut connection) = Member::connection(member, Use::Delete).await {
@@ -196,9 +197,9 @@
                 return finish(member, connection, &head).await;
             }
         }
+        *written = false;
         if !member.is_stale(&connection) {
             return;
         }
-        *written = false;
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -307,7 +307,7 @@
         let Some(w) = self.farm.workers.get(&id) else { return };
         let (total, waited) = (self.farm.slots_of(w), self.now - sent > (2.0 * self.round).max(0.05));
         let Some(w) = self.farm.workers.get_mut(&id) else { return };
-        w.heard = self.now;
+        (w.heard, w.broke) = (self.now, 0);
         if !first {
             return self.clear(id); // it got on
         }
@@ -351,7 +351,9 @@
                 Outcome::Cancelled | Outcome::Moot | Outcome::Stale => {}
                 _ => w.stability *= 0.7,
             }
-            let broke = matches!(e.outcome, Outcome::Reset | Outcome::ConnectFailed);
+            // One connection may break on a sound worker; two with nothing heard between do not.
+            w.broke += u32::from(e.outcome == Outcome::Reset);
+            let broke = e.outcome == Outcome::ConnectFailed || e.outcome == Outcome::Reset && w.broke > 1;
             (broke || w.stability < 0.3).then(|| self.doubt(worker, broke));
         }
         self.report(worker, e.load, 0.5);
@@ -365,7 +367,7 @@
             }
             self.clear(worker);
             if let Some(w) = self.farm.workers.get_mut(&worker).filter(|_| timely) {
-                (w.heard, w.proven, w.backoff) = (self.now, w.proven + 1.0, 0.0);
+                (w.heard, w.broke, w.proven, w.backoff) = (self.now, 0, w.proven + 1.0, 0.0);
             }
         }
         if e.closed || self.jobs.all.get(&e.request).is_some_and(|j| j.ended) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -103,6 +103,8 @@
     pub full_until: f64,
     /// When any attempt there last started or got on.
     pub heard: f64,
+    /// Connections to it that broke since then.
+    pub broke: u32,
     /// When it was asked for a free slot, while the answer is out.
     pub asked: f64,
     /// When it last answered at once and nothing was sent since.
--- a/tests/net/flows.rs
+++ b/tests/net/flows.rs
@@ -214,6 +214,8 @@
     m1 expect DELETE /jobs/r1
     m1 close
     m1 expect new DELETE /jobs/r1
+    m1 close
+    m1 expect new DELETE /jobs/r1
     m1 send 200
     s wait flows_ended_withdrawn 1"
 )]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -189,6 +189,23 @@
     assert!(routes(&b.run(0.2)).iter().all(|r| r.1 != first), "no unsafe work on a suspect");
 }
 
+/// One connection may break on a sound worker; two with nothing heard between are a sign.
+#[test]
+fn a_single_broken_connection_does_not_eject_a_worker() {
+    let mut b = Bench::new(settings(), fleet(1));
+    let next = |b: &mut Bench, id| {
+        b.send(Event::Request(request(id, 0, b.now)));
+        routes(&b.run(0.1))
+    };
+    assert_eq!(next(&mut b, 1).len(), 1);
+    b.end(1, 0, Outcome::Stale);
+    assert_eq!(routes(&b.run(0.1)).len(), 1, "a connection that was gone is none at all");
+    b.end(1, 1, Outcome::Reset);
+    assert_eq!(routes(&b.run(0.1)).len(), 1, "nor is one that broke");
+    b.end(1, 2, Outcome::Reset);
+    assert_eq!(routes(&b.run(0.1)).len(), 0, "two are");
+}
+
 #[test]
 fn a_shared_slowdown_does_not_eject_the_fleet() {
     let mut b = Bench::new(settings(), fleet(3));
