--- a/src/config.rs
+++ b/src/config.rs
@@ -35,6 +35,8 @@
     pub name: String,
     /// Where clients and call-backs connect.
     pub listen: SocketAddr,
+    /// Where operators connect; without it there is no door for them.
+    pub ops: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// For random numbers; new with each start.
@@ -75,6 +77,7 @@
         Ok(Config {
             name: string("name")?.to_owned(),
             listen: address("listen")?,
+            ops: root.get("ops").map(|_| address("ops")).transpose()?,
             discovery: address("discovery")?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| ConfigError::Field("seed"))?,
             sockets: root.get("limits").and_then(|l| l.get_usize("sockets")).unwrap_or(SOCKETS),
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -1,8 +1,9 @@
-//! What the scheduler has taken, sent and answered. Plain numbers on one thread, so that any front or
+//! What the scheduler has taken, sent and answered. Plain numbers on one thread, so that any front, door or
 //! agent can read them without asking the engine.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
+use std::rc::Rc;
 
 use crate::net::end::ConnectionEnd;
 
@@ -23,6 +24,52 @@
     }
 }
 
+/// A number that goes up and down.
+#[derive(Default)]
+pub struct Gauge(Cell<usize>);
+
+impl Gauge {
+    /// Sets the figure.
+    pub fn set(&self, value: usize) {
+        self.0.set(value);
+    }
+
+    /// One more for as long as the value lives.
+    pub fn hold(this: &Rc<Self>) -> Gauged {
+        this.set(this.get() + 1);
+        Gauged(Rc::clone(this))
+    }
+
+    /// The figure.
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// One that a [`Gauge`] counts.
+pub struct Gauged(Rc<Gauge>);
+
+impl Drop for Gauged {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// What became of the transactions of one class.
+#[derive(Default)]
+pub struct ClassCounters {
+    /// The class.
+    name: String,
+    /// Answered with a member's result.
+    pub ok: Counter,
+    /// Rejected, at the door or by decision.
+    pub shed: Counter,
+    /// Failed.
+    pub errors: Counter,
+    /// Attempts whose last byte was written to a member.
+    pub tries: Counter,
+}
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// All counters of a scheduler.
@@ -31,6 +78,14 @@
             $($(#[$doc])* pub $name: Counter,)*
             /// Server-side flows by how they ended, in the order of [`ConnectionEnd::ALL`].
             pub ends: [Counter; ConnectionEnd::ALL.len()],
+            /// By class, in the order of the settings.
+            classes: RefCell<Vec<Rc<ClassCounters>>>,
+            /// Transactions taken and not yet answered.
+            pub active: Rc<Gauge>,
+            /// Members in the pool.
+            pub pool_size: Gauge,
+            /// Of these, the ones that the decision module avoids.
+            pub pool_ejected: Gauge,
         }
 
         impl Counters {
@@ -87,6 +142,24 @@
 }
 
 impl Counters {
+    /// Takes up the names of the classes. Classes keep their numbers, and with them their figures.
+    pub fn configure<'a>(&self, names: impl Iterator<Item = &'a str>) {
+        let mut classes = self.classes.borrow_mut();
+        let known = classes.len();
+        let new = |name: &str| Rc::new(ClassCounters { name: name.to_owned(), ..ClassCounters::default() });
+        classes.extend(names.skip(known).map(new));
+    }
+
+    /// The figures of a class.
+    pub fn class(&self, class: usize) -> Rc<ClassCounters> {
+        self.classes.borrow().get(class).cloned().unwrap_or_default()
+    }
+
+    /// The operators' figures, one `svc.NAME=VALUE` to a line.
+    pub fn figures(&self) -> Figures<'_> {
+        Figures(self)
+    }
+
     /// Counts the end of a flow.
     pub fn ended(&self, end: ConnectionEnd) {
         self.ends[end as usize].add();
@@ -104,3 +177,26 @@
         Ok(())
     }
 }
+
+/// The figures in the operators' names.
+pub struct Figures<'a>(&'a Counters);
+
+impl fmt::Display for Figures<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Figures(counters) = self;
+        for class in counters.classes.borrow().iter() {
+            let figures = [
+                ("ok", &class.ok),
+                ("shed", &class.shed),
+                ("errors", &class.errors),
+                ("tries", &class.tries),
+            ];
+            for (name, counter) in figures {
+                writeln!(f, "svc.{name}.{}={}", class.name, counter.get())?;
+            }
+        }
+        writeln!(f, "svc.active={}", counters.active.get())?;
+        writeln!(f, "svc.pool_size={}", counters.pool_size.get())?;
+        writeln!(f, "svc.pool_ejected={}", counters.pool_ejected.get())
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,7 +10,9 @@
 use chutesaddle::net::client::Front;
 use chutesaddle::net::discovery::Watch;
 use chutesaddle::net::engine::Engine;
+use chutesaddle::net::lifecycle::Lifecycle;
 use chutesaddle::net::member::Dialer;
+use chutesaddle::net::ops::Door;
 use chutesaddle::net::reload::{descriptors, Reload};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -18,8 +20,6 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
-/// After SIGTERM new transactions are still taken for this long: the front layer learns late.
-const KEEP_TAKING: Duration = Duration::from_millis(500);
 /// How often to look whether the last transaction is answered.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -31,6 +31,8 @@
     Config(#[from] ConfigError),
     #[error("cannot listen on {0}: {1}")]
     Listen(std::net::SocketAddr, std::io::Error),
+    #[error("NODE_OPS is no address: {0}")]
+    Ops(std::net::AddrParseError),
     #[error("cannot wait for signals: {0}")]
     Signal(std::io::Error),
     #[error("the engine has stopped")]
@@ -58,7 +60,18 @@
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|error| StartError::Listen(config.listen, error))?;
 
-    let counters = Rc::new(Counters::default());
+    let ops = match (config.ops, std::env::var("NODE_OPS")) {
+        (None, Ok(address)) => Some(address.parse().map_err(StartError::Ops)?),
+        (address, _) => address,
+    };
+    let door = match ops {
+        Some(address) => {
+            let door = TcpListener::bind(address).await;
+            Some(door.map_err(|error| StartError::Listen(address, error))?)
+        }
+        None => None,
+    };
+    let (counters, lifecycle) = (Rc::new(Counters::default()), Rc::new(Lifecycle::default()));
     let settings = config.settings;
     let (clients, members) = descriptors(config.sockets);
     let (connect_timeout_s, conn_idle_s) = (settings.connect_timeout_s, settings.conn_idle_s);
@@ -71,12 +84,19 @@
         queue: queue.clone(),
         counters: Rc::clone(&counters),
     };
-    let front = Rc::new(Front::new(settings.clone(), queue.clone(), Rc::clone(&counters), clients));
+    let front = Rc::new(Front::new(
+        settings.clone(),
+        queue.clone(),
+        Rc::clone(&counters),
+        Rc::clone(&lifecycle),
+        clients,
+    ));
     let (discovery, addresses) = watch::channel(config.discovery);
     let reload = Reload {
         path,
         name: config.name.clone(),
         listen: config.listen,
+        ops: config.ops,
         settings,
         discovery,
         front: Rc::clone(&front),
@@ -87,6 +107,12 @@
     spawn_local(watch.run(addresses));
     spawn_local(reload.run(hangup));
     let address = listener.local_addr().unwrap_or(config.listen);
+    if let Some(door) = door {
+        let address = door.local_addr().ok().or(ops);
+        eprintln!("chutesaddle: operators call at {}", address.map(|a| a.to_string()).unwrap_or_default());
+        spawn_local(Door::new(Rc::clone(&lifecycle), Rc::clone(&counters)).run(door));
+    }
+    spawn_local(Rc::clone(&front).clear());
     spawn_local(Rc::clone(&front).run(listener));
     eprintln!("chutesaddle: {} serves on {address}", config.name);
 
@@ -96,13 +122,11 @@
         _ = terminate.recv() => {}
     }
     eprintln!("chutesaddle: stopping, {} requests wait for their answer", front.waiting());
-    front.say_close();
-    sleep(KEEP_TAKING).await;
-    front.stop_taking();
+    lifecycle.stop();
     // Also what was under way to this process when the taking stopped is read, and told to go elsewhere.
     loop {
         sleep(LOOK).await;
-        if front.waiting() == 0 {
+        if !lifecycle.still_takes() && lifecycle.clears() && front.is_empty() {
             break;
         }
     }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -15,6 +15,7 @@
 use super::budget::{Budget, Share};
 use super::engine::{Message, Queue, Reply, Transaction};
 use super::http::{Connection, Head, HttpError};
+use super::lifecycle::{Lifecycle, Phase};
 use super::request::{self, Asked, RequestError};
 use super::spare::{Spares, Worth};
 use crate::api::Settings;
@@ -35,7 +36,9 @@
 const PASS_OVER_BYTES: usize = 64 * 1024;
 /// How long to wait for room, or after a failed accept, before trying again.
 const RETRY: Duration = Duration::from_millis(10);
-/// What the door says to a client that it turns away.
+/// How often a scheduler that empties itself looks for connections to close.
+const CLEAR: Duration = Duration::from_millis(20);
+/// What the front says to a client that it turns away.
 const COME_BACK_S: f64 = 0.5;
 
 /// The front of one scheduler.
@@ -51,8 +54,7 @@
     waiting: Cell<usize>,
     /// Where input that nobody wants is read to, by one connection at a time.
     scratch: Mutex<Vec<u8>>,
-    closing: Cell<bool>,
-    stopped: Cell<bool>,
+    lifecycle: Rc<Lifecycle>,
 }
 
 /// An answer to write.
@@ -105,7 +107,13 @@
 
 impl Front {
     /// A front that holds at most `connections` open.
-    pub fn new(settings: Settings, queue: Queue, counters: Rc<Counters>, connections: usize) -> Self {
+    pub fn new(
+        settings: Settings,
+        queue: Queue,
+        counters: Rc<Counters>,
+        lifecycle: Rc<Lifecycle>,
+        connections: usize,
+    ) -> Self {
         Front {
             settings: RefCell::new(Rc::new(settings)),
             queue,
@@ -114,8 +122,7 @@
             spares: Spares::default(),
             waiting: Cell::new(0),
             scratch: Mutex::new(vec![0; PASS_OVER_BYTES]),
-            closing: Cell::new(false),
-            stopped: Cell::new(false),
+            lifecycle,
         }
     }
 
@@ -134,17 +141,23 @@
         Rc::clone(&self.settings.borrow())
     }
 
-    /// From now on connections are closed after their next answer.
-    pub fn say_close(&self) {
-        self.closing.set(true);
+    /// Closes what stands idle whenever the lifecycle says so, and tells it when nothing is left.
+    pub async fn clear(self: Rc<Self>) {
+        let mut phase = self.lifecycle.watch();
+        loop {
+            // The sender lives as long as this front.
+            let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
+            if self.lifecycle.clears() {
+                while self.spares.close_one(Worth::Idle) {}
+                self.lifecycle.emptied(self.is_empty());
+            }
+            sleep(CLEAR).await;
+        }
     }
 
-    /// From now on transactions are rejected; connections that stand idle are closed. Call-backs are still
-    /// taken.
-    pub fn stop_taking(&self) {
-        self.closing.set(true);
-        self.stopped.set(true);
-        while self.spares.close_one(Worth::Idle) {}
+    /// Whether no client's message is arriving or waits for its answer.
+    pub fn is_empty(&self) -> bool {
+        self.waiting() == 0 && self.spares.count(Worth::Busy) == 0
     }
 
     /// Messages whose answer has not been written.
@@ -207,16 +220,16 @@
 
     async fn serve(&self, mut connection: Connection) {
         // What only asks how the scheduler is doing is welcome, but is worth no more than silence.
-        let (mut due, mut worth, mut spoke) = (Instant::now() + MESSAGE, Worth::None, false);
+        let (mut began, mut worth, mut spoke) = (Instant::now(), Worth::None, false);
         loop {
-            let idle = if spoke { Instant::now() + IDLE } else { due };
+            let idle = if spoke { Instant::now() + IDLE } else { began + MESSAGE };
             if !connection.has_input() && !self.next_message(&mut connection, worth, idle).await {
                 return;
             }
             if spoke {
-                due = Instant::now() + MESSAGE;
+                began = Instant::now();
             }
-            let (head, body) = match self.message(&mut connection, due).await {
+            let (head, body) = match self.message(&mut connection, began + MESSAGE).await {
                 Some(Ok(message)) => message,
                 Some(Err(error)) => return self.reject(connection, &error).await,
                 None => return,
@@ -224,7 +237,7 @@
             let _waiting = Waiting::new(&self.waiting); // until the answer is written
             let settings = self.settings();
             let answer = match request::read(&head, &body, &settings) {
-                Ok(Asked::Job(transaction)) => match self.job(&mut connection, transaction).await {
+                Ok(Asked::Job(transaction)) => match self.job(&mut connection, transaction, began).await {
                     Some(answer) => {
                         worth = Worth::Idle;
                         answer
@@ -232,13 +245,13 @@
                     None => return,
                 },
                 Ok(Asked::CallBack) => {
-                    worth = Worth::Idle;
+                    worth = Worth::CallBack;
                     self.call_back(body)
                 }
-                Ok(Asked::Ready) if self.stopped.get() => {
-                    Answer::new("503 Service Unavailable", "stopping\n")
+                Ok(Asked::Ready) if self.lifecycle.is_serving() => Answer::new("200 OK", "ready\n"),
+                Ok(Asked::Ready) => {
+                    Answer::new("503 Service Unavailable", format!("{}\n", self.lifecycle.phase().name()))
                 }
-                Ok(Asked::Ready) => Answer::new("200 OK", "ready\n"),
                 Ok(Asked::Counters) => Answer::new("200 OK", self.counters.to_string()),
                 Err(error) => {
                     self.counters.messages_rejected.add();
@@ -325,7 +338,7 @@
 
     /// Writes an answer; the value says whether the connection stays open.
     async fn write(&self, connection: &mut Connection, answer: Answer, keep: bool) -> io::Result<bool> {
-        let keep = keep && !self.closing.get();
+        let keep = keep && self.lifecycle.is_serving();
         let close = if keep { "" } else { "Connection: close\r\n" };
         let Answer { status, headers, body } = answer;
         let head = format!("HTTP/1.1 {status}\r\n{headers}{close}Content-Length: {}\r\n\r\n", body.len());
@@ -337,11 +350,21 @@
     }
 
     /// Takes a transaction and waits for its answer; `None` if the client has left.
-    async fn job(&self, connection: &mut Connection, transaction: Box<Transaction>) -> Option<Answer> {
-        if self.stopped.get() || self.waiting.get() > self.most_waiting() {
+    async fn job(
+        &self,
+        connection: &mut Connection,
+        mut transaction: Box<Transaction>,
+        began: Instant,
+    ) -> Option<Answer> {
+        if !self.lifecycle.takes(began) || self.waiting.get() > self.most_waiting() {
             self.counters.rejected_at_door.add();
+            self.counters.class(transaction.class).shed.add();
             return Some(Answer::reject(COME_BACK_S));
         }
+        let longest = self.settings().classes.iter().map(|class| class.deadline_s).fold(0.0, f64::max);
+        if let Some(by) = self.lifecycle.answer_by(Duration::from_secs_f64(longest)) {
+            transaction.deadline = transaction.deadline.min(by);
+        }
         // The engine answers before this; the bound keeps a fault there from holding a client for good.
         let last = transaction.deadline + Duration::from_secs_f64(self.settings().answer_slack_s);
         let mut pending = self.queue.submit(transaction);
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -19,7 +19,7 @@
 use crate::api::{
     Action, Ended, Event, Load, Request, RequestId, Settings, WorkerId, WorkerInfo, WorkerState,
 };
-use crate::counters::Counters;
+use crate::counters::{Counters, Gauge, Gauged};
 use crate::rules::Dispatcher;
 
 /// Kept connections are looked over this often.
@@ -202,7 +202,10 @@
 
 /// A transaction until it is answered and no attempt of it is open.
 struct Live {
+    class: usize,
     reply: Option<oneshot::Sender<Reply>>,
+    /// Counts it as active until it is answered.
+    active: Option<Gauged>,
     payload: Rc<Payload>,
     deadline: Instant,
     attempts: Vec<Attempt>,
@@ -236,6 +239,7 @@
 impl Engine {
     /// An engine for these settings, and the way to it.
     pub fn new(settings: Settings, seed: u64, dialer: Rc<Dialer>, counters: Rc<Counters>) -> (Self, Queue) {
+        counters.configure(settings.classes.iter().map(|class| class.name.as_str()));
         let (sender, receiver) = mpsc::unbounded_channel();
         let queue = Queue { sender, next: Rc::default() };
         let engine = Engine {
@@ -308,6 +312,7 @@
             Message::Pool(update) => self.pool(update, false),
             Message::Settings(settings) => {
                 self.dispatcher.configure((*settings).clone());
+                self.counters.configure(settings.classes.iter().map(|class| class.name.as_str()));
                 self.settings = *settings;
             }
         }
@@ -320,12 +325,14 @@
             if self.counters.duplicate_ids.add().is_power_of_two() {
                 eprintln!("chutesaddle: a transaction's id is in use by another that is still open");
             }
+            self.counters.class(class).errors.add();
             let _ = reply.send(Reply::Duplicate);
             return;
         }
         self.counters.transactions_taken.add();
         self.names.insert(payload.name.clone(), id);
-        let live = Live { reply: Some(reply), payload: Rc::new(payload), deadline, attempts: Vec::new() };
+        let (reply, active) = (Some(reply), Some(Gauge::hold(&self.counters.active)));
+        let live = Live { class, reply, active, payload: Rc::new(payload), deadline, attempts: Vec::new() };
         self.live.insert(id, live);
         self.set_timer(deadline, Due::Deadline(id));
         let deadline = self.clock.at(deadline);
@@ -335,6 +342,7 @@
     fn left(&mut self, id: RequestId) {
         let Some(live) = self.live.get_mut(&id) else { return };
         if live.reply.take().is_some() {
+            live.active = None;
             self.counters.clients_left.add();
             self.tell(Event::Left(id));
             self.forget(id);
@@ -405,12 +413,17 @@
 
     /// Gives the final answer; false if there was one before.
     fn answer(&mut self, id: RequestId, reply: Reply) -> bool {
-        let Some(sender) = self.live.get_mut(&id).and_then(|live| live.reply.take()) else { return false };
-        match reply {
-            Reply::Served(_) => self.counters.answered_served.add(),
-            Reply::Rejected { .. } => self.counters.answered_rejected.add(),
-            Reply::Failed | Reply::Duplicate => self.counters.answered_failed.add(),
+        let Some(live) = self.live.get_mut(&id) else { return false };
+        let Some(sender) = live.reply.take() else { return false };
+        live.active = None;
+        let class = self.counters.class(live.class);
+        let (all, of_class) = match reply {
+            Reply::Served(_) => (&self.counters.answered_served, &class.ok),
+            Reply::Rejected { .. } => (&self.counters.answered_rejected, &class.shed),
+            Reply::Failed | Reply::Duplicate => (&self.counters.answered_failed, &class.errors),
         };
+        all.add();
+        of_class.add();
         let _ = sender.send(reply); // the client may have left this instant
         true
     }
@@ -434,6 +447,7 @@
                 events.extend(self.perform(action));
             }
         }
+        self.counters.pool_ejected.set(self.dispatcher.avoided());
     }
 
     fn perform(&mut self, action: Action) -> Option<Event> {
@@ -484,6 +498,7 @@
             deadline: live.deadline,
             order,
             counters: Rc::clone(&self.counters),
+            class: self.counters.class(live.class),
         };
         let queue = self.queue.clone();
         tokio::task::spawn_local(async move {
@@ -549,6 +564,7 @@
                 since: line.started_s,
             });
         }
+        self.counters.pool_size.set(self.members.len());
         self.tell(Event::Workers { whole, cached, entries });
     }
 }
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -13,7 +13,7 @@
 use super::engine::Order;
 use super::http::{Head, HttpError};
 use super::member::{Member, MemberConnection, Use};
-use crate::counters::Counters;
+use crate::counters::{ClassCounters, Counter, Counters};
 
 /// How long an answer of the member may still come once the engine needs it no more; until then the
 /// connection may become free again.
@@ -56,6 +56,8 @@
     pub order: oneshot::Receiver<Order>,
     /// Counts deletes.
     pub counters: Rc<Counters>,
+    /// Counts attempts of the transaction's class.
+    pub class: Rc<ClassCounters>,
 }
 
 impl Flow {
@@ -64,7 +66,8 @@
     pub async fn run(mut self) -> (ConnectionEnd, Option<String>) {
         let mut stage = Stage::Unsent;
         // Boxed, so that giving up can drop it, and with it the connection, on the spot.
-        let mut exchange = Box::pin(exchange(&self.member, &self.payload, self.deadline, &mut stage));
+        let exchange = exchange(&self.member, &self.payload, self.deadline, &self.class.tries, &mut stage);
+        let mut exchange = Box::pin(exchange);
         let (order, running) = tokio::select! {
             biased;
             order = &mut self.order => (order, true),
@@ -126,6 +129,7 @@
     member: &Rc<Member>,
     payload: &Payload,
     deadline: Instant,
+    tries: &Counter,
     stage: &mut Stage,
 ) -> Option<(ConnectionEnd, Option<String>)> {
     let mut connection = match Member::connection(member, Use::Job).await {
@@ -154,6 +158,7 @@
         return Some((ConnectionEnd::BrokeSending, None));
     }
     *stage = Stage::Waiting;
+    tries.add();
     let head = match connection.http.response_head().await {
         Ok(head) => head,
         Err(HttpError::Malformed(_) | HttpError::HeadTooLong | HttpError::BodyTooLong) => {
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -21,6 +21,8 @@
     pub name: String,
     /// The same.
     pub listen: SocketAddr,
+    /// The same.
+    pub ops: Option<SocketAddr>,
     /// The settings that are in force.
     pub settings: Settings,
     /// Where discovery is followed.
@@ -54,6 +56,7 @@
         let (settings, mut kept) = self.settings.followed_by(config.settings);
         kept.extend((config.name != self.name).then_some("name"));
         kept.extend((config.listen != self.listen).then_some("listen"));
+        kept.extend((config.ops != self.ops).then_some("ops"));
         let (clients, members) = descriptors(config.sockets);
         self.dialer.configure(members, settings.connect_timeout_s, settings.conn_idle_s);
         // The engine takes these up before any transaction that the front numbers by them.
--- a/src/net/spare.rs
+++ b/src/net/spare.rs
@@ -11,8 +11,10 @@
 pub enum Worth {
     /// It has carried neither a transaction nor a call-back, or has had its last answer.
     None,
-    /// It stands idle between two messages.
+    /// It stands idle between two messages of a client.
     Idle,
+    /// It stands idle after a call-back: only the want of room is a reason to close it.
+    CallBack,
     /// A message is arriving on it.
     Busy,
 }
@@ -33,6 +35,11 @@
         Spare { spares: self, key: (worth, number), close }
     }
 
+    /// How many of this worth are listed.
+    pub fn count(&self, worth: Worth) -> usize {
+        self.listed.borrow().keys().filter(|key| key.0 == worth).count()
+    }
+
     /// Asks the connection of least worth that has been listed for longest to close; false if there is none
     /// of this worth or less.
     pub fn close_one(&self, most: Worth) -> bool {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -77,6 +77,11 @@
         self.offers = if self.sees() { self.farm.ring.clone() } else { Vec::new() };
     }
 
+    /// How many of the listed workers get nothing for now, because they are suspect.
+    pub fn avoided(&self) -> usize {
+        self.farm.suspects.len()
+    }
+
     /// Takes one event and appends what is to be done. News of what is no longer held is passed over.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         self.now = if now.is_finite() { self.now.max(now) } else { self.now };
@@ -309,7 +314,7 @@
         let Some(w) = self.farm.workers.get_mut(&id) else { return };
         (w.heard, w.broke) = (self.now, 0);
         if !first {
-            return self.clear(id); // it got on
+            return self.farm.clear(id); // it got on
         }
         w.started(self.now, total, waited);
         self.busy.add(self.now, SOON, f64::from(u8::from(waited)), 1.0);
@@ -328,14 +333,6 @@
         self.farm.suspects.push(id);
     }
 
-    fn clear(&mut self, id: WorkerId) {
-        let Some(w) = self.farm.workers.get_mut(&id) else { return };
-        if w.suspect.take().is_some() {
-            (w.stability, w.proven) = (w.stability.max(0.5), 0.0); // its work comes back step by step
-            self.farm.suspects.retain(|s| *s != id);
-        }
-    }
-
     fn attempt_ended(&mut self, e: Ended, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.all.get_mut(&e.request) else { return };
         let Some(a) = job.attempts.get_mut(e.attempt).filter(|a| a.out) else { return };
@@ -365,7 +362,7 @@
                 self.fleet.add(self.now, KIND_RECENT, value, 1.0);
                 self.farm.learn(worker, self.complexity(work), (self.now, RECENT, KIND_RECENT), value);
             }
-            self.clear(worker);
+            self.farm.clear(worker);
             if let Some(w) = self.farm.workers.get_mut(&worker).filter(|_| timely) {
                 (w.heard, w.broke, w.proven, w.backoff) = (self.now, 0, w.proven + 1.0, 0.0);
             }
@@ -413,7 +410,7 @@
             w.offered = self.now;
             self.offers.extend((!self.offers.contains(&id)).then_some(id));
         }
-        self.clear(id);
+        self.farm.clear(id);
         self.wake_in(0.0, out);
     }
 
@@ -446,7 +443,7 @@
             let Some(w) = self.farm.workers.get_mut(&id).filter(due) else { continue };
             w.suspect = Some(self.now + w.backoff);
             out.extend(self.s.probes.then_some(Action::Probe(id)));
-            (!self.s.probes).then(|| self.clear(id));
+            (!self.s.probes).then(|| self.farm.clear(id));
         }
         self.checking = !self.jobs.all.is_empty() || !self.farm.suspects.is_empty();
         let after_s = if self.blind() { ANSWER } else { SWEEP };
--- a/src/state.rs
+++ b/src/state.rs
@@ -180,6 +180,15 @@
         each.fold((0.0, 0.0), |sum, w| (sum.0 + w.0, sum.1 + w.1))
     }
 
+    /// A worker has proved itself: it is a suspect no longer, and its work comes back step by step.
+    pub fn clear(&mut self, id: WorkerId) {
+        let Some(w) = self.workers.get_mut(&id) else { return };
+        if w.suspect.take().is_some() {
+            (w.stability, w.proven) = (w.stability.max(0.5), 0.0);
+            self.suspects.retain(|s| *s != id);
+        }
+    }
+
     /// Adds a value to what is known of a worker and its kind; they fade at different paces.
     pub fn learn(&mut self, id: WorkerId, cell: usize, times: (f64, f64, f64), value: f64) {
         let Some(w) = self.workers.get_mut(&id) else { return };
--- a/tests/net/main.rs
+++ b/tests/net/main.rs
@@ -4,5 +4,6 @@
 mod discovery;
 mod flows;
 mod lifecycle;
+mod ops;
 mod reload;
 mod scenario;
--- /dev/null
+++ b/tests/net/ops.rs
@@ -0,0 +1,169 @@
+//! The operators' door: its calls, its figures, and the drain.
+
+use rstest::rstest;
+
+use crate::scenario::{play, World, PLAIN};
+
+#[rstest]
+#[case::status("raw STATUS\\n", "+OK serving")]
+#[case::status_with_a_carriage_return("raw STATUS\\r\\n", "+OK serving")]
+#[case::metrics("raw METRICS\\n", "+OK & svc.ok.draw-map=0 & svc.tries.publish-map=0")]
+#[case::resume_of_one_that_serves("raw RESUME\\n", "+OK serving")]
+#[case::unknown("raw REBOOT\\n", "-ERR")]
+#[case::nothing("raw \\n", "-ERR")]
+fn a_call_gets_one_answer_and_a_close(#[case] call: &str, #[case] answer: &str) {
+    play(&PLAIN, &format!("o1 send {call}\no1 expect {answer}"));
+}
+
+#[test]
+fn a_call_may_come_in_pieces_and_has_a_bound() {
+    let long = "x".repeat(300);
+    play(
+        &PLAIN,
+        &format!(
+            "o1 send raw STA
+            o2 send raw {long}
+            o2 expect -ERR
+            o1 send raw TUS\\r
+            o1 send raw \\n
+            o1 expect +OK"
+        ),
+    );
+}
+
+/// More callers than the door holds say nothing, and a crowd has taken every place at the front.
+#[test]
+fn stalled_callers_and_a_crowd_keep_nobody_out() {
+    let mut scenario: String =
+        (1..=9).map(|n| format!("c{n} send job r{n}\ns wait transactions_taken {n}\n")).collect();
+    scenario += &(10..40).map(|n| format!("c{n} send raw POST /dr\n")).collect::<String>();
+    scenario += &(1..=12).map(|n| format!("o{n} send raw STAT\n")).collect::<String>();
+    scenario += "o20 send raw STATUS\\n\no20 expect +OK\no1 expect eof\n";
+    play(&World { sockets: 20, ..PLAIN }, &scenario);
+}
+
+#[rstest]
+#[case::served_and_active(
+    "c1 send job r1
+    m1 expect r1
+    m1 send 202
+    o1 wait METRICS => svc.active=1
+    c2 send call r1 m1 done
+    c1 expect 200
+    o1 wait METRICS => svc.ok.draw-map=1
+    o1 wait METRICS => svc.active=0
+    o1 wait METRICS => svc.tries.draw-map=1
+    o1 wait METRICS => svc.ok.publish-map=0"
+)]
+#[case::rejected_after_its_attempts(
+    "c1 send job r1 publish-map
+    m1 expect r1
+    m1 send 500
+    m1 expect r1
+    m1 send 500
+    m1 expect r1
+    m1 send 500
+    c1 expect HTTP/1.1 503
+    o1 wait METRICS => svc.shed.publish-map=1
+    o1 wait METRICS => svc.tries.publish-map=3"
+)]
+#[case::an_id_in_use(
+    "c1 send job r1
+    m1 expect r1
+    c2 send job r1
+    c2 expect 409
+    o1 wait METRICS => svc.errors.draw-map=1
+    o1 wait METRICS => svc.active=1"
+)]
+#[case::nothing_is_a_try_before_its_last_byte_is_written(
+    "m1 close door
+    c1 send job r1 draw-map 600
+    c1 expect 503
+    s wait flows_ended_connect_refused 1
+    o1 wait METRICS => svc.tries.draw-map=0
+    o1 wait METRICS => svc.shed.draw-map=1
+    o1 wait METRICS => svc.pool_ejected=1"
+)]
+#[case::the_pool(
+    "o1 wait METRICS => svc.pool_size=1
+    d expect GET /v1/endpoints
+    d send 200 Transfer-Encoding: chunked
+    d send full m1:active m2:leaving
+    o1 wait METRICS => svc.pool_size=2
+    d send some m2:left
+    o1 wait METRICS => svc.pool_size=1
+    o1 wait METRICS => svc.pool_ejected=0"
+)]
+fn figures_tell_what_happened(#[case] scenario: &str) {
+    play(&PLAIN, scenario);
+}
+
+#[rstest]
+#[case::what_was_taken_is_finished(
+    "c1 send job r1
+    m1 expect r1
+    m1 send 202
+    c2 send GET /ready HTTP/1.1||
+    c2 expect HTTP/1.1 200
+    o1 send raw PAUSE\\n
+    o1 expect +OK draining
+    o2 send raw STATUS\\n
+    o2 expect -ERR draining
+    c3 send GET /ready HTTP/1.1||
+    c3 expect HTTP/1.1 503
+    c4 send job r4
+    m1 expect r4
+    m1 send 202
+    c2 expect eof
+    o3 wait STATUS => -ERR draining
+    c5 send call r1 m1 done
+    c5 expect 200
+    c1 expect Connection: close & drawn
+    c1 expect eof
+    c6 send call r4 m1 done
+    c4 expect Connection: close & drawn
+    o3 wait STATUS => -ERR drained"
+)]
+#[case::later_ones_are_rejected(
+    "o1 send raw PAUSE\\n
+    o1 expect +OK
+    o2 wait STATUS => -ERR drained
+    s wait rejected_at_door 0
+    o3 send raw PAUSE\\n
+    o3 expect +OK drained"
+)]
+#[case::resume_takes_clients_again(
+    "o1 send raw PAUSE\\n
+    o1 expect +OK
+    o2 wait STATUS => drained
+    o3 send raw RESUME\\n
+    o3 expect +OK serving
+    c1 send GET /ready HTTP/1.1||
+    c1 expect HTTP/1.1 200
+    c1 send job r1
+    m1 expect r1
+    m1 send 202
+    c2 send call r1 m1 done
+    c1 expect drawn
+    c1 send job r2
+    m1 expect r2"
+)]
+#[case::nothing_takes_back_a_stop(
+    "c1 send job r1
+    m1 expect r1
+    m1 send 202
+    o1 send raw PAUSE\\n
+    o1 expect +OK
+    s send TERM
+    s expect log stopping
+    o2 send raw RESUME\\n
+    o2 expect -ERR the scheduler is stopping
+    o3 send raw PAUSE\\n
+    o3 expect -ERR
+    c2 send call r1 m1 done
+    c1 expect drawn
+    s expect exit 0"
+)]
+fn an_operator_empties_the_scheduler(#[case] scenario: &str) {
+    play(&PLAIN, scenario);
+}
--- a/tests/net/scenario.rs
+++ b/tests/net/scenario.rs
@@ -2,8 +2,8 @@
 //! scenarios in a small language. A line is `ACTOR VERB TEXT`; the verbs are send, expect, close, wait.
 //!
 //! Actors: `c1`, `c2` .. are connections to the scheduler, of clients and of members that call back; `m1`,
-//! `m2` .. are members, `d` and `d2` are discovery, each with the connection it accepted last; `s` is the
-//! scheduler itself.
+//! `m2` .. are members, `d` and `d2` are discovery, each with the connection it accepted last; `o1`, `o2` ..
+//! are operators at their door, whose answer reaches to the end; `s` is the scheduler itself.
 //!
 //! - `send TEXT`: a message; `|` ends a line of the head, `||` the head. `raw TEXT` is sent as it stands,
 //!   with `\r` and `\n`. Short forms: `job ID CLASS MS HEADERS`, `call ID FROM STATE RESULT`, `202 HEADERS`,
@@ -12,7 +12,8 @@
 //! - `expect TEXT`: the next message holds each part, parts set apart by ` & `; `expect new TEXT`: on a new
 //!   connection. Also `eof`, `silence` (nothing has come), and for the scheduler `exit 0` and `log TEXT`.
 //! - `close`: the connection; `close door`: the listener as well.
-//! - `wait COUNTER N`: until the scheduler has counted that far.
+//! - `wait COUNTER N`: until the scheduler has counted that far; of an operator, `wait CALL => PART`: until an
+//!   answer to that call holds the part.
 
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
@@ -58,6 +59,7 @@
 struct Stage {
     scheduler: Child,
     address: String,
+    ops: String,
     file: String,
     log: Arc<Mutex<String>>,
     doors: HashMap<String, TcpListener>,
@@ -82,7 +84,7 @@
         let at = |door: &TcpListener| door.local_addr().unwrap().to_string();
         let addresses: HashMap<_, _> = doors.iter().map(|(name, door)| (name.clone(), at(door))).collect();
         let config = format!(
-            r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{}","seed":"1f","limits":{{"sockets":{}}},
+            r#"{{"name":"n1","listen":"127.0.0.1:0","ops":"127.0.0.1:0","discovery":"{}","seed":"1f","limits":{{"sockets":{}}},
             "known":{},"settings":{{"areas":["a","b"],"kinds":["k"],"balancers":1,"tick_s":0.005,
             "grades":[{{"name":"draw-map","effect":"repeatable","slo_s":3,"deadline_s":8,"worth":2}},
             {{"name":"publish-map","effect":"by_key","group":"all","slo_s":3,"deadline_s":8,"window_s":40}}],
@@ -111,13 +113,13 @@
                 written.lock().unwrap().push_str(&String::from_utf8_lossy(&bytes[..n]));
             }
         });
-        let address = until(|| {
-            let log = log.lock().unwrap();
-            Some(log.split_once("serves on ")?.1.split_once('\n')?.0.to_owned())
-        });
+        let logged = |before: &str| {
+            let told = || Some(log.lock().unwrap().split_once(before)?.1.split_once('\n')?.0.to_owned());
+            until(told).expect("the scheduler starts")
+        };
+        let (address, ops) = (logged("serves on "), logged("operators call at "));
         let (wires, silent) = (HashMap::new(), Vec::new());
-        let address = address.expect("the scheduler starts");
-        Stage { scheduler, address, file: name, log, doors, addresses, wires, silent, version: 41 }
+        Stage { scheduler, address, ops, file: name, log, doors, addresses, wires, silent, version: 41 }
     }
 
     fn step(&mut self, actor: &str, verb: &str, text: &str) -> Step {
@@ -148,6 +150,11 @@
                 let least: u64 = least.parse().map_err(|_| "a figure")?;
                 until(|| (self.counter(counter)? >= least).then_some(())).ok_or("not counted so far".into())
             }
+            (_, "wait") => {
+                let (call, part) = text.split_once(" => ").ok_or("a call and a part")?;
+                let answered = || self.call(call).is_some_and(|answer| answer.contains(part)).then_some(());
+                until(answered).ok_or_else(|| format!("no such answer, at last {:?}", self.call(call)))
+            }
             (_, "send") => {
                 let message = self.message(text);
                 let wire = self.wire(actor, false)?;
@@ -183,7 +190,7 @@
             let closed = wire.more().map(|read| read == 0 && wire.read.is_empty());
             return if closed.unwrap_or(true) { Ok(()) } else { Err("there is something".into()) };
         }
-        let message = wire.message()?;
+        let message = if actor.starts_with('o') { wire.rest()? } else { wire.message()? };
         let missing = text.split(" & ").find(|part| !message.contains(part));
         missing.map_or(Ok(()), |part| Err(format!("no {part:?} in {message:?}")))
     }
@@ -192,6 +199,7 @@
     fn wire(&mut self, actor: &str, fresh: bool) -> Result<&mut Wire, String> {
         if fresh || !self.wires.contains_key(actor) {
             let stream = match self.doors.get(actor) {
+                None if actor.starts_with('o') => TcpStream::connect(&self.ops).map_err(|e| e.to_string())?,
                 None => TcpStream::connect(&self.address).map_err(|e| e.to_string())?,
                 Some(door) => {
                     door.set_nonblocking(true).unwrap();
@@ -217,6 +225,14 @@
         line.parse().ok()
     }
 
+    fn call(&self, line: &str) -> Option<String> {
+        let mut stream = TcpStream::connect(&self.ops).ok()?;
+        stream.write_all(format!("{line}\n").as_bytes()).ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok()?;
+        Some(text)
+    }
+
     fn addressed(&self, text: &str) -> String {
         let addresses = self.addresses.iter();
         addresses.fold(text.to_owned(), |text, (name, at)| text.replace(&format!("{{{name}}}"), at))
@@ -264,6 +280,12 @@
         Ok(read)
     }
 
+    /// All that comes until the other side's end.
+    fn rest(&mut self) -> Result<String, String> {
+        while self.more()? > 0 {}
+        Ok(String::from_utf8_lossy(&std::mem::take(&mut self.read)).into_owned())
+    }
+
     fn has_input(&mut self) -> bool {
         self.stream.set_nonblocking(true).unwrap();
         let read = self.stream.peek(&mut [0; 1]);
