--- a/src/api.rs
+++ b/src/api.rs
@@ -339,6 +339,13 @@
     Left(RequestId),
     /// A timer of [`Action::Timer`] is due.
     Timer(u64),
+    /// Another process of this very dispatcher, which replaces it or is replaced, has sent work to a worker.
+    SentElsewhere {
+        /// The worker.
+        worker: WorkerId,
+        /// The work, as hinted.
+        work: f64,
+    },
     /// A probe has ended.
     Probed {
         /// The worker.
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -99,6 +99,10 @@
 counters! {
     /// Client and call-back connections accepted.
     connections_accepted,
+    /// Connections that another process passed to this one.
+    connections_adopted,
+    /// Connections passed to the process that has taken over.
+    connections_passed_on,
     /// Connections closed to make room for new ones.
     connections_shed,
     /// Accepts that failed, for want of descriptors above all.
@@ -125,6 +129,8 @@
     callbacks_malformed,
     /// Call-backs for no flow that is still open.
     callbacks_unmatched,
+    /// Call-backs passed on to the other process of an upgrade.
+    callbacks_passed_on,
     /// Server-side flows begun.
     flows,
     /// New connections to pool members.
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,13 +7,16 @@
 
 use chutesaddle::config::{Config, ConfigError};
 use chutesaddle::counters::Counters;
+use chutesaddle::net::budget::Shares;
 use chutesaddle::net::client::Front;
 use chutesaddle::net::discovery::Watch;
 use chutesaddle::net::engine::Engine;
-use chutesaddle::net::lifecycle::Lifecycle;
+use chutesaddle::net::handover::{self, Handover};
+use chutesaddle::net::lifecycle::{Lifecycle, Phase};
 use chutesaddle::net::member::Dialer;
 use chutesaddle::net::ops::Door;
-use chutesaddle::net::reload::{descriptors, Reload};
+use chutesaddle::net::peers::Peers;
+use chutesaddle::net::reload::Reload;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -57,9 +60,6 @@
     // Before anything answers: without a handler either signal ends the process on the spot.
     let mut terminate = signal(SignalKind::terminate()).map_err(StartError::Signal)?;
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signal)?;
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|error| StartError::Listen(config.listen, error))?;
-
     let ops = match (config.ops, std::env::var("NODE_OPS")) {
         (None, Ok(address)) => Some(address.parse().map_err(StartError::Ops)?),
         (address, _) => address,
@@ -72,12 +72,21 @@
         None => None,
     };
     let (counters, lifecycle) = (Rc::new(Counters::default()), Rc::new(Lifecycle::default()));
+    if let Some(door) = door {
+        let address = door.local_addr().ok().or(ops);
+        eprintln!("chutesaddle: operators call at {}", address.map(|a| a.to_string()).unwrap_or_default());
+        spawn_local(Door::new(Rc::clone(&lifecycle), Rc::clone(&counters)).run(door));
+    }
+    let place = handover::meeting_place();
+    let listener = handover::listener(place.as_deref(), config.listen).await;
+    let (listener, old) = listener.map_err(|error| StartError::Listen(config.listen, error))?;
+
     let settings = config.settings;
-    let (clients, members) = descriptors(config.sockets);
+    let (shares, peers) = (Rc::new(Shares::new(config.sockets)), Peers::default());
     let (connect_timeout_s, conn_idle_s) = (settings.connect_timeout_s, settings.conn_idle_s);
-    let dialer = Rc::new(Dialer::new(members, connect_timeout_s, conn_idle_s, Rc::clone(&counters)));
+    let dialer = Rc::new(Dialer::new(shares.members(), connect_timeout_s, conn_idle_s, Rc::clone(&counters)));
     let (engine, queue) =
-        Engine::new(settings.clone(), config.seed, Rc::clone(&dialer), Rc::clone(&counters));
+        Engine::new(settings.clone(), config.seed, Rc::clone(&dialer), Rc::clone(&counters), peers.clone());
     let watch = Watch {
         address: config.discovery,
         version: config.known.version,
@@ -89,7 +98,7 @@
         queue.clone(),
         Rc::clone(&counters),
         Rc::clone(&lifecycle),
-        clients,
+        shares.clients(),
     ));
     let (discovery, addresses) = watch::channel(config.discovery);
     let reload = Reload {
@@ -100,33 +109,45 @@
         settings,
         discovery,
         front: Rc::clone(&front),
-        queue,
+        queue: queue.clone(),
         dialer,
+        shares: Rc::clone(&shares),
+    };
+    let handover = Handover {
+        place,
+        listener: Rc::new(listener),
+        front: Rc::clone(&front),
+        lifecycle: Rc::clone(&lifecycle),
+        queue,
+        peers: peers.clone(),
+        shares,
+        counters: Rc::clone(&counters),
     };
     let mut engine = spawn_local(engine.run(config.known));
     spawn_local(watch.run(addresses));
     spawn_local(reload.run(hangup));
-    let address = listener.local_addr().unwrap_or(config.listen);
-    if let Some(door) = door {
-        let address = door.local_addr().ok().or(ops);
-        eprintln!("chutesaddle: operators call at {}", address.map(|a| a.to_string()).unwrap_or_default());
-        spawn_local(Door::new(Rc::clone(&lifecycle), Rc::clone(&counters)).run(door));
-    }
     spawn_local(Rc::clone(&front).clear());
-    spawn_local(Rc::clone(&front).run(listener));
-    eprintln!("chutesaddle: {} serves on {address}", config.name);
+    let address = handover.listener.local_addr().unwrap_or(config.listen);
+    spawn_local(Rc::new(handover).run(old));
+    let mut phase = lifecycle.watch();
+    let started = async {
+        let _ = phase.wait_for(|phase| *phase != Phase::Starting).await;
+        eprintln!("chutesaddle: {} serves on {address}", config.name);
+        std::future::pending::<()>().await
+    };
 
     tokio::select! {
         // Without its engine the scheduler would take work and answer none: better to be started anew.
         _ = &mut engine => return Err(StartError::EngineStopped),
         _ = terminate.recv() => {}
+        () = started => {}
     }
     eprintln!("chutesaddle: stopping, {} requests wait for their answer", front.waiting());
     lifecycle.stop();
     // Also what was under way to this process when the taking stopped is read, and told to go elsewhere.
     loop {
         sleep(LOOK).await;
-        if !lifecycle.still_takes() && lifecycle.clears() && front.is_empty() {
+        if !lifecycle.still_takes() && lifecycle.clears() && front.is_empty() && peers.is_flushed() {
             break;
         }
     }
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -5,6 +5,54 @@
 
 use tokio::sync::Notify;
 
+/// How the descriptors that the platform allows are shared out: six in ten are for clients and call-backs,
+/// three for members; the rest is for the operators' door, discovery, the listener, the link of an upgrade,
+/// the configuration, the runtime and the standard streams. The processes of an upgrade share them alike.
+pub struct Shares {
+    sockets: Cell<usize>,
+    processes: Cell<usize>,
+    clients: Rc<Budget>,
+    members: Rc<Budget>,
+}
+
+impl Shares {
+    /// Shares out `sockets` to one process.
+    pub fn new(sockets: usize) -> Self {
+        let (clients, members) = (Budget::new(0), Budget::new(0));
+        let shares = Shares { sockets: Cell::new(sockets), processes: Cell::new(1), clients, members };
+        shares.apply();
+        shares
+    }
+
+    /// For connections of clients and call-backs.
+    pub fn clients(&self) -> Rc<Budget> {
+        Rc::clone(&self.clients)
+    }
+
+    /// For connections to members.
+    pub fn members(&self) -> Rc<Budget> {
+        Rc::clone(&self.members)
+    }
+
+    /// The platform allows another number.
+    pub fn configure(&self, sockets: usize) {
+        self.sockets.set(sockets);
+        self.apply();
+    }
+
+    /// So many processes share from now on.
+    pub fn among(&self, processes: usize) {
+        self.processes.set(processes);
+        self.apply();
+    }
+
+    fn apply(&self) {
+        let sockets = self.sockets.get() / self.processes.get().max(1);
+        self.clients.set_most(sockets * 6 / 10);
+        self.members.set_most(sockets * 3 / 10);
+    }
+}
+
 /// A bound and what is in use of it.
 #[derive(Debug)]
 pub struct Budget {
@@ -41,6 +89,7 @@
     /// Sets the bound. What is in use beyond a smaller one stays in use until it is given back.
     pub fn set_most(&self, most: usize) {
         self.most.set(most);
+        self.freed.notify_one(); // there may be room now
     }
 }
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -7,15 +7,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::net::TcpListener;
-use tokio::sync::Mutex;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Mutex};
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 use super::budget::{Budget, Share};
 use super::engine::{Message, Queue, Reply, Transaction};
 use super::http::{Connection, Head, HttpError};
-use super::lifecycle::{Lifecycle, Phase};
+use super::lifecycle::Lifecycle;
+use super::link::{Frame, Outbox};
 use super::request::{self, Asked, RequestError};
 use super::spare::{Spares, Worth};
 use crate::api::Settings;
@@ -55,6 +56,15 @@
     /// Where input that nobody wants is read to, by one connection at a time.
     scratch: Mutex<Vec<u8>>,
     lifecycle: Rc<Lifecycle>,
+    /// The process that has taken over, if there is one.
+    successor: watch::Sender<Option<Outbox>>,
+}
+
+/// What follows for a connection on which no message has begun.
+enum Next {
+    Message,
+    Close,
+    PassOn,
 }
 
 /// An answer to write.
@@ -106,30 +116,42 @@
 }
 
 impl Front {
-    /// A front that holds at most `connections` open.
+    /// A front that holds connections within this budget.
     pub fn new(
         settings: Settings,
         queue: Queue,
         counters: Rc<Counters>,
         lifecycle: Rc<Lifecycle>,
-        connections: usize,
+        connections: Rc<Budget>,
     ) -> Self {
         Front {
             settings: RefCell::new(Rc::new(settings)),
             queue,
             counters,
-            connections: Budget::new(connections),
+            connections,
             spares: Spares::default(),
             waiting: Cell::new(0),
             scratch: Mutex::new(vec![0; PASS_OVER_BYTES]),
             lifecycle,
+            successor: watch::Sender::new(None),
         }
     }
 
-    /// Takes up other settings and another bound for whatever comes from now on.
-    pub fn configure(&self, settings: Settings, connections: usize) {
+    /// Takes up other settings for whatever comes from now on.
+    pub fn configure(&self, settings: Settings) {
         *self.settings.borrow_mut() = Rc::new(settings);
-        self.connections.set_most(connections);
+    }
+
+    /// From now on that process accepts connections, and is passed those that stand idle here; or this one
+    /// does again.
+    pub fn succeeded_by(&self, successor: Option<Outbox>) {
+        self.successor.send_replace(successor);
+        while self.has_successor() && self.spares.close_one(Worth::CallBack) {}
+    }
+
+    /// Whether another process accepts connections in place of this one.
+    pub fn has_successor(&self) -> bool {
+        self.successor.borrow().is_some()
     }
 
     /// Transactions that may wait at once: the rest of the connections stays for call-backs.
@@ -146,7 +168,7 @@
         let mut phase = self.lifecycle.watch();
         loop {
             // The sender lives as long as this front.
-            let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
+            let _ = phase.wait_for(|phase| phase.empties()).await;
             if self.lifecycle.clears() {
                 while self.spares.close_one(Worth::Idle) {}
                 self.lifecycle.emptied(self.is_empty());
@@ -167,15 +189,23 @@
 
     /// Accepts connections for good, at once: one that waits outside could be a call-back, or a client whose
     /// time runs.
-    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+    pub async fn run(self: Rc<Self>, listener: Rc<TcpListener>) {
+        let mut successor = self.successor.subscribe();
         loop {
+            // The sender lives as long as this front.
+            let _ = successor.wait_for(Option::is_none).await;
             let share = self.room().await;
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                _ = successor.wait_for(Option::is_some) => continue,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     self.counters.connections_accepted.add();
                     let front = Rc::clone(&self);
                     tokio::task::spawn_local(async move {
-                        front.serve(Connection::new(stream)).await;
+                        front.serve(Connection::new(stream), Worth::None, false).await;
                         drop(share);
                     });
                 }
@@ -191,6 +221,13 @@
         }
     }
 
+    /// Serves a connection that another process has accepted.
+    pub async fn adopt(self: Rc<Self>, stream: TcpStream, worth: Worth, spoke: bool) {
+        let _share = self.room().await;
+        self.counters.connections_adopted.add();
+        self.serve(Connection::new(stream), worth, spoke).await;
+    }
+
     /// Room for one more connection, which the one of least worth makes if need be.
     async fn room(&self) -> Share {
         loop {
@@ -218,13 +255,16 @@
         }
     }
 
-    async fn serve(&self, mut connection: Connection) {
-        // What only asks how the scheduler is doing is welcome, but is worth no more than silence.
-        let (mut began, mut worth, mut spoke) = (Instant::now(), Worth::None, false);
+    async fn serve(&self, mut connection: Connection, mut worth: Worth, mut spoke: bool) {
+        let mut began = Instant::now();
         loop {
             let idle = if spoke { Instant::now() + IDLE } else { began + MESSAGE };
-            if !connection.has_input() && !self.next_message(&mut connection, worth, idle).await {
-                return;
+            if !connection.has_input() {
+                match self.next_message(&mut connection, worth, idle).await {
+                    Next::Message => {}
+                    Next::Close => return,
+                    Next::PassOn => return self.pass_on(connection, worth, spoke),
+                }
             }
             if spoke {
                 began = Instant::now();
@@ -248,7 +288,9 @@
                     worth = Worth::CallBack;
                     self.call_back(body)
                 }
-                Ok(Asked::Ready) if self.lifecycle.is_serving() => Answer::new("200 OK", "ready\n"),
+                Ok(Asked::Ready) if self.lifecycle.is_serving() || self.has_successor() => {
+                    Answer::new("200 OK", "ready\n")
+                }
                 Ok(Asked::Ready) => {
                     Answer::new("503 Service Unavailable", format!("{}\n", self.lifecycle.phase().name()))
                 }
@@ -269,18 +311,34 @@
         self.linger(connection).await;
     }
 
-    /// Waits for the first byte of a message; false if the connection is to be closed instead.
-    async fn next_message(&self, connection: &mut Connection, worth: Worth, until: Instant) -> bool {
-        let spare = self.spares.list(worth);
-        tokio::select! {
-            biased;
-            read = timeout_at(until, connection.fill()) => matches!(read, Ok(Ok(bytes)) if bytes > 0),
-            () = spare.closes() => {
-                // A request that has arrived, but has not been seen yet, is not to be lost to the close.
-                yield_now().await;
-                connection.arrived()
+    /// Waits for the first byte of a message.
+    async fn next_message(&self, connection: &mut Connection, worth: Worth, until: Instant) -> Next {
+        if !self.has_successor() {
+            let spare = self.spares.list(worth);
+            tokio::select! {
+                biased;
+                read = timeout_at(until, connection.fill()) => {
+                    return if matches!(read, Ok(Ok(bytes)) if bytes > 0) { Next::Message } else { Next::Close };
+                }
+                () = spare.closes() => yield_now().await,
             }
         }
+        // A request that has arrived, but has not been seen yet, is not to be lost to the close.
+        match connection.arrived() {
+            true => Next::Message,
+            false if self.has_successor() => Next::PassOn,
+            false => Next::Close,
+        }
+    }
+
+    /// Passes a connection to the process that has taken over. What its client sends meanwhile waits there.
+    fn pass_on(&self, connection: Connection, worth: Worth, spoke: bool) {
+        let successor = self.successor.borrow().clone();
+        // A socket that cannot be passed has broken.
+        if let (Some(successor), Ok(socket)) = (successor, connection.into_socket()) {
+            self.counters.connections_passed_on.add();
+            successor.send(Frame::Connection { worth, spoke }, Some(socket));
+        }
     }
 
     /// Reads a message; `None` if its place is needed for another.
@@ -338,7 +396,7 @@
 
     /// Writes an answer; the value says whether the connection stays open.
     async fn write(&self, connection: &mut Connection, answer: Answer, keep: bool) -> io::Result<bool> {
-        let keep = keep && self.lifecycle.is_serving();
+        let keep = keep && (self.has_successor() || !self.lifecycle.phase().empties());
         let close = if keep { "" } else { "Connection: close\r\n" };
         let Answer { status, headers, body } = answer;
         let head = format!("HTTP/1.1 {status}\r\n{headers}{close}Content-Length: {}\r\n\r\n", body.len());
@@ -379,7 +437,7 @@
     fn call_back(&self, body: Bytes) -> Answer {
         match request::read_call_back(body) {
             Some(call_back) => {
-                self.queue.send(Message::CallBack(call_back));
+                self.queue.send(Message::CallBack(call_back, None));
                 Answer::new("200 OK", "")
             }
             None => {
--- a/src/net/end.rs
+++ b/src/net/end.rs
@@ -1,9 +1,11 @@
 //! How a server-side flow can end, and what each end means to the decision module.
 
+use serde::{Deserialize, Serialize};
+
 use crate::api::Outcome;
 
 /// Each way in which a server-side flow ends; no other type says so.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConnectionEnd {
     /// A `done` call-back came.
     Done,
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -9,13 +9,16 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, Instant};
 
 use super::discovery::{MemberState, PoolUpdate};
 use super::end::ConnectionEnd;
 use super::flow::{Flow, Payload};
+use super::link::Frame;
 use super::member::{Dialer, Member};
+use super::peers::{PeerId, Peers};
 use crate::api::{
     Action, Ended, Event, Load, Request, RequestId, Settings, WorkerId, WorkerInfo, WorkerState,
 };
@@ -63,7 +66,7 @@
 }
 
 /// What a member tells of a job.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum News {
     /// It has begun.
     Started,
@@ -76,7 +79,7 @@
 }
 
 /// News of a job, with the names that the member knows.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct CallBack {
     /// The transaction's name.
     pub name: Bytes,
@@ -103,8 +106,12 @@
     Transaction(RequestId, Box<Transaction>, oneshot::Sender<Reply>),
     /// The client of a transaction has left.
     Left(RequestId),
-    /// A member's call-back.
-    CallBack(CallBack),
+    /// A member's call-back, and the process that passed it on if it came in elsewhere.
+    CallBack(CallBack, Option<PeerId>),
+    /// A link to another process of an upgrade is up.
+    Joined(PeerId),
+    /// Another process has sent so much work to the member of this name.
+    SentElsewhere(String, f64),
     /// A flow has ended.
     FlowEnded(RequestId, usize, ConnectionEnd, Option<String>),
     /// The pool has changed.
@@ -203,6 +210,7 @@
 /// A transaction until it is answered and no attempt of it is open.
 struct Live {
     class: usize,
+    hint: Option<f64>,
     reply: Option<oneshot::Sender<Reply>>,
     /// Counts it as active until it is answered.
     active: Option<Gauged>,
@@ -234,11 +242,20 @@
     names: HashMap<Bytes, RequestId>,
     timers: BinaryHeap<Reverse<(Instant, u64, Due)>>,
     timers_set: u64,
+    peers: Peers,
+    /// What members were sent lately: a process that joins must count it against the cold ones.
+    sends: VecDeque<(Instant, String, f64)>,
 }
 
 impl Engine {
     /// An engine for these settings, and the way to it.
-    pub fn new(settings: Settings, seed: u64, dialer: Rc<Dialer>, counters: Rc<Counters>) -> (Self, Queue) {
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        dialer: Rc<Dialer>,
+        counters: Rc<Counters>,
+        peers: Peers,
+    ) -> (Self, Queue) {
         counters.configure(settings.classes.iter().map(|class| class.name.as_str()));
         let (sender, receiver) = mpsc::unbounded_channel();
         let queue = Queue { sender, next: Rc::default() };
@@ -257,6 +274,8 @@
             names: HashMap::new(),
             timers: BinaryHeap::new(),
             timers_set: 0,
+            peers,
+            sends: VecDeque::new(),
         };
         (engine, queue)
     }
@@ -304,7 +323,13 @@
         match message {
             Message::Transaction(id, transaction, reply) => self.transaction(id, *transaction, reply),
             Message::Left(id) => self.left(id),
-            Message::CallBack(call_back) => self.call_back(call_back),
+            Message::CallBack(call_back, from) => self.call_back(call_back, from),
+            Message::Joined(peer) => self.joined(peer),
+            Message::SentElsewhere(name, work) => {
+                if let Some(&worker) = self.numbers.get(&name) {
+                    self.tell(Event::SentElsewhere { worker, work });
+                }
+            }
             Message::FlowEnded(id, attempt, end, report) => {
                 let load = report.map(|report| self.load(&read_report(&report))).unwrap_or_default();
                 self.ended(id, attempt, end, load);
@@ -320,7 +345,8 @@
 
     fn transaction(&mut self, id: RequestId, transaction: Transaction, reply: oneshot::Sender<Reply>) {
         let Transaction { class, tenant, deadline, slots, memory, hint, payload } = transaction;
-        if self.names.contains_key(&payload.name) || self.live.contains_key(&id) {
+        let elsewhere = self.peers.holds(&payload.name);
+        if elsewhere || self.names.contains_key(&payload.name) || self.live.contains_key(&id) {
             // Call-backs could not tell the two apart.
             if self.counters.duplicate_ids.add().is_power_of_two() {
                 eprintln!("chutesaddle: a transaction's id is in use by another that is still open");
@@ -331,8 +357,10 @@
         }
         self.counters.transactions_taken.add();
         self.names.insert(payload.name.clone(), id);
+        self.peers.pass(None, &Frame::Opened(payload.name.clone()));
         let (reply, active) = (Some(reply), Some(Gauge::hold(&self.counters.active)));
-        let live = Live { class, reply, active, payload: Rc::new(payload), deadline, attempts: Vec::new() };
+        let live =
+            Live { class, hint, reply, active, payload: Rc::new(payload), deadline, attempts: Vec::new() };
         self.live.insert(id, live);
         self.set_timer(deadline, Due::Deadline(id));
         let deadline = self.clock.at(deadline);
@@ -366,8 +394,14 @@
 
     /// A call-back counts for the attempt at the member that sent it. It may come before the answer that
     /// the member took the job, twice, or for an attempt that is over.
-    fn call_back(&mut self, call_back: CallBack) {
+    fn call_back(&mut self, call_back: CallBack, from: Option<PeerId>) {
         self.counters.callbacks.add();
+        if !self.names.contains_key(&call_back.name)
+            && self.peers.pass(from, &Frame::CallBack(call_back.clone()))
+        {
+            self.counters.callbacks_passed_on.add();
+            return;
+        }
         let load = self.load(&call_back.load);
         let id = self.names.get(&call_back.name).copied();
         let worker = self.numbers.get(&call_back.from).copied();
@@ -399,6 +433,25 @@
         }
     }
 
+    /// Tells a process that has joined what it must know: the jobs that are open, and the work that cold
+    /// members have been sent lately.
+    fn joined(&mut self, peer: PeerId) {
+        for name in self.names.keys() {
+            self.peers.tell(peer, Frame::Opened(name.clone()));
+        }
+        self.forget_sends();
+        for (_, name, work) in &self.sends {
+            self.peers.tell(peer, Frame::Sent(name.clone(), *work));
+        }
+    }
+
+    fn forget_sends(&mut self) {
+        let window = Duration::from_secs_f64(self.settings.overload_for_s.clamp(0.0, 60.0));
+        while self.sends.front().is_some_and(|send| send.0.elapsed() > window) {
+            self.sends.pop_front();
+        }
+    }
+
     /// Tells the module the end of an attempt, once.
     fn ended(&mut self, request: RequestId, attempt: usize, end: ConnectionEnd, load: Load) {
         let Some(live) = self.live.get_mut(&request) else { return };
@@ -433,6 +486,7 @@
         if self.live.get(&id).is_some_and(|l| l.reply.is_none() && l.attempts.iter().all(|a| !a.open)) {
             if let Some(live) = self.live.remove(&id) {
                 self.names.remove(&live.payload.name);
+                self.peers.pass(None, &Frame::Closed(live.payload.name.clone()));
             }
         }
     }
@@ -492,6 +546,7 @@
         };
         live.attempts.push(Attempt { worker, open: true, withdrawn: false, order: Some(sender) });
         self.counters.flows.add();
+        let (name, work) = (member.name.clone(), live.hint.unwrap_or(0.0));
         let flow = Flow {
             member: Rc::clone(member),
             payload: Rc::clone(&live.payload),
@@ -505,6 +560,9 @@
             let (end, report) = flow.run().await;
             queue.send(Message::FlowEnded(request, attempt, end, report));
         });
+        self.forget_sends();
+        self.peers.pass(None, &Frame::Sent(name.clone(), work));
+        self.sends.push_back((Instant::now(), name, work));
         None
     }
 
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -3,6 +3,7 @@
 
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -176,6 +177,15 @@
         TcpStream::connect(address).await.map(Connection::new)
     }
 
+    /// The socket alone. Nothing that was read may be left.
+    ///
+    /// # Errors
+    /// As the system reports them.
+    pub fn into_socket(self) -> io::Result<OwnedFd> {
+        debug_assert!(self.buffer.is_empty());
+        self.stream.into_std().map(OwnedFd::from)
+    }
+
     /// Whether nothing at all is there to read: neither bytes nor the other side's end.
     pub fn is_quiet(&self) -> bool {
         let would_block = |error: io::Error| error.kind() == io::ErrorKind::WouldBlock;
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -21,32 +21,43 @@
 /// What the scheduler does about clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// A new process that does not serve yet.
+    Starting,
     /// It takes work.
     Serving,
     /// PAUSE came: it empties itself.
     Draining,
     /// Nothing of a client is left; RESUME is awaited.
     Drained,
+    /// Another process serves at this address now; this one finishes what it has.
+    Replaced,
     /// SIGTERM came: it empties itself and exits.
     Stopping,
 }
 
 impl Phase {
+    /// Whether the process empties itself: answers say that their connection closes.
+    pub fn empties(self) -> bool {
+        matches!(self, Phase::Draining | Phase::Drained | Phase::Stopping)
+    }
+
     /// The word for it, as the door says it.
     pub fn name(self) -> &'static str {
         match self {
+            Phase::Starting => "starting",
             Phase::Serving => "serving",
             Phase::Draining => "draining",
             Phase::Drained => "drained",
+            Phase::Replaced => "replaced by a new process",
             Phase::Stopping => "stopping",
         }
     }
 }
 
-/// Why a change is not made: the process has been told to stop, which nothing takes back.
+/// Why a call changes nothing: what holds is not the operators' to change.
 #[derive(Debug, PartialEq, thiserror::Error)]
-#[error("the scheduler is stopping")]
-pub struct IsStopping;
+#[error("this process is {}", .0.name())]
+pub struct Unchanged(pub Phase);
 
 /// The state, and since when it holds.
 pub struct Lifecycle {
@@ -60,7 +71,7 @@
 impl Default for Lifecycle {
     fn default() -> Self {
         let now = Instant::now();
-        let phase = watch::Sender::new(Phase::Serving);
+        let phase = watch::Sender::new(Phase::Starting);
         Lifecycle { phase, left_at: Cell::new(now), takes_until: Cell::new(now) }
     }
 }
@@ -84,7 +95,7 @@
     /// Whether a transaction is taken whose message began to arrive at `began` and is whole now.
     pub fn takes(&self, began: Instant) -> bool {
         match self.phase() {
-            Phase::Serving => true,
+            Phase::Starting | Phase::Serving | Phase::Replaced => true,
             Phase::Draining | Phase::Drained => {
                 began < self.takes_until.get() && Instant::now() < self.left_at.get() + PAUSE_HOLDS
             }
@@ -92,14 +103,14 @@
         }
     }
 
-    /// Whether messages that begin now may still be taken.
+    /// Whether messages that begin now may still be taken, now that PAUSE or SIGTERM has come.
     pub fn still_takes(&self) -> bool {
-        self.is_serving() || Instant::now() < self.takes_until.get()
+        Instant::now() < self.takes_until.get()
     }
 
     /// Whether connections that stand idle are to be closed.
     pub fn clears(&self) -> bool {
-        !self.is_serving() && Instant::now() >= self.left_at.get() + IDLE_STAYS
+        self.phase().empties() && Instant::now() >= self.left_at.get() + IDLE_STAYS
     }
 
     /// By when a transaction must be answered that is taken now, whatever its client allows: what is open
@@ -111,11 +122,11 @@
 
     fn leave(&self, phase: Phase, takes: Duration) {
         let now = Instant::now();
-        if self.is_serving() {
+        if self.phase().empties() {
+            self.takes_until.set(self.takes_until.get().min(now + takes));
+        } else {
             self.left_at.set(now);
             self.takes_until.set(now + takes);
-        } else {
-            self.takes_until.set(self.takes_until.get().min(now + takes));
         }
         self.phase.send_replace(phase);
     }
@@ -123,12 +134,12 @@
     /// Empties the scheduler.
     ///
     /// # Errors
-    /// If it is stopping: then it empties itself anyway, for good.
-    pub fn pause(&self) -> Result<(), IsStopping> {
+    /// If the process is starting, replaced or stopping.
+    pub fn pause(&self) -> Result<(), Unchanged> {
         match self.phase() {
             Phase::Serving => self.leave(Phase::Draining, PAUSE_TAKES),
             Phase::Draining | Phase::Drained => {}
-            Phase::Stopping => return Err(IsStopping),
+            other => return Err(Unchanged(other)),
         }
         Ok(())
     }
@@ -136,23 +147,41 @@
     /// Takes clients again.
     ///
     /// # Errors
-    /// If it is stopping.
-    pub fn resume(&self) -> Result<(), IsStopping> {
-        if self.phase() == Phase::Stopping {
-            return Err(IsStopping);
-        }
-        self.phase.send_replace(Phase::Serving);
+    /// If the process is starting, replaced or stopping.
+    pub fn resume(&self) -> Result<(), Unchanged> {
+        match self.phase() {
+            Phase::Serving | Phase::Draining | Phase::Drained => self.phase.send_replace(Phase::Serving),
+            other => return Err(Unchanged(other)),
+        };
         Ok(())
     }
 
+    /// From now on the process serves, unless it has been told to stop before.
+    pub fn start(&self) {
+        self.change(&[Phase::Starting], Phase::Serving);
+    }
+
+    /// From now on another process serves in its place.
+    pub fn replace(&self) {
+        self.change(&[Phase::Serving, Phase::Draining, Phase::Drained], Phase::Replaced);
+    }
+
+    /// That process is gone.
+    pub fn restore(&self) {
+        self.change(&[Phase::Replaced], Phase::Serving);
+    }
+
+    fn change(&self, from: &[Phase], to: Phase) {
+        self.phase.send_if_modified(|phase| {
+            let changes = from.contains(phase) && *phase != to;
+            changes.then(|| *phase = to).is_some()
+        });
+    }
+
     /// Nothing of a client is left, or something is again.
     pub fn emptied(&self, empty: bool) {
-        let drains = |phase: &mut Phase| {
-            let now = if empty { Phase::Drained } else { Phase::Draining };
-            let changes = matches!(phase, Phase::Draining | Phase::Drained) && *phase != now;
-            changes.then(|| *phase = now).is_some()
-        };
-        self.phase.send_if_modified(drains);
+        let now = if empty { Phase::Drained } else { Phase::Draining };
+        self.change(&[Phase::Draining, Phase::Drained], now);
     }
 
     /// SIGTERM came. Nothing takes it back.
--- /dev/null
+++ b/src/net/link.rs
@@ -0,0 +1,168 @@
+//! The link between the two processes of an upgrade: frames over a Unix socket, some of which carry a socket
+//! along. It knows what is said, not what follows from it.
+
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, OwnedFd};
+use std::rc::Rc;
+
+use bytes::{Buf, Bytes, BytesMut};
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use serde::{Deserialize, Serialize};
+use tokio::io::Interest;
+use tokio::net::UnixStream;
+use tokio::sync::mpsc;
+
+use super::engine::CallBack;
+use super::spare::Worth;
+
+/// The longest frame: a call-back with its result is the largest.
+const FRAME_BYTES: usize = 256 * 1024;
+/// Room asked for at a time.
+const READ_BYTES: usize = 16 * 1024;
+
+/// What the processes tell each other.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Frame {
+    /// From the old one, with the socket on which clients are accepted.
+    Listener,
+    /// From the new one: it serves, and the old one is to accept no more.
+    Serving,
+    /// With a client's connection on which no message has begun.
+    Connection {
+        /// What it has carried.
+        worth: Worth,
+        /// It has carried a message before.
+        spoke: bool,
+    },
+    /// A transaction of this name is open.
+    Opened(Bytes),
+    /// It is open no more.
+    Closed(Bytes),
+    /// A call-back for a transaction that is not open where it came in.
+    CallBack(CallBack),
+    /// So much work went to the member of this name.
+    Sent(String, f64),
+}
+
+impl Frame {
+    fn carries_socket(&self) -> bool {
+        matches!(self, Frame::Listener | Frame::Connection { .. })
+    }
+}
+
+/// The sending side; frames are written in their order by a task of their own.
+#[derive(Clone)]
+pub struct Outbox {
+    sender: mpsc::UnboundedSender<(Frame, Option<OwnedFd>)>,
+    /// Frames that are not written yet.
+    queued: Rc<Cell<usize>>,
+}
+
+impl Outbox {
+    /// Sends a frame, and a socket with those that carry one. On a link that has ended it is dropped.
+    pub fn send(&self, frame: Frame, socket: Option<OwnedFd>) {
+        if self.sender.send((frame, socket)).is_ok() {
+            self.queued.set(self.queued.get() + 1);
+        }
+    }
+
+    /// Whether all frames are written, or cannot be.
+    pub fn is_flushed(&self) -> bool {
+        self.queued.get() == 0 || self.sender.is_closed()
+    }
+}
+
+/// The receiving side.
+pub struct Inbox {
+    stream: Rc<UnixStream>,
+    buffer: BytesMut,
+    sockets: VecDeque<OwnedFd>,
+}
+
+/// The two sides of a link.
+pub fn link(stream: UnixStream) -> (Outbox, Inbox) {
+    let stream = Rc::new(stream);
+    let (sender, mut frames) = mpsc::unbounded_channel();
+    let queued = Rc::new(Cell::new(0));
+    let (writer, left) = (Rc::clone(&stream), Rc::clone(&queued));
+    tokio::task::spawn_local(async move {
+        while let Some((frame, socket)) = frames.recv().await {
+            if write(&writer, &frame, socket).await.is_err() {
+                return; // the reading side sees the end as well
+            }
+            left.set(left.get() - 1);
+        }
+    });
+    (Outbox { sender, queued }, Inbox { stream, buffer: BytesMut::new(), sockets: VecDeque::new() })
+}
+
+async fn write(stream: &UnixStream, frame: &Frame, mut socket: Option<OwnedFd>) -> io::Result<()> {
+    let body = postcard::to_allocvec(frame).map_err(io::Error::other)?;
+    let mut bytes = Vec::from((body.len() as u32).to_be_bytes());
+    bytes.extend(body);
+    let mut rest = bytes.as_slice();
+    while !rest.is_empty() {
+        let written = stream.async_io(Interest::WRITABLE, || {
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut control = SendAncillaryBuffer::new(&mut space);
+            let sockets: Vec<_> = socket.iter().map(AsFd::as_fd).collect();
+            if !sockets.is_empty() {
+                control.push(SendAncillaryMessage::ScmRights(&sockets));
+            }
+            Ok(sendmsg(stream, &[IoSlice::new(rest)], &mut control, SendFlags::NOSIGNAL)?)
+        });
+        rest = &rest[written.await?..];
+        socket = None; // it went along with the first byte
+    }
+    Ok(())
+}
+
+impl Inbox {
+    /// The next frame and the socket that it carries; `None` at the end of the link, in whatever way.
+    pub async fn next(&mut self) -> Option<(Frame, Option<OwnedFd>)> {
+        loop {
+            if let Some(length) = self.buffer.get(..4) {
+                let length = u32::from_be_bytes(length.try_into().ok()?) as usize;
+                if length > FRAME_BYTES {
+                    return None;
+                }
+                if self.buffer.len() >= 4 + length {
+                    self.buffer.advance(4);
+                    let frame: Frame = postcard::from_bytes(&self.buffer.split_to(length)).ok()?;
+                    let socket = if frame.carries_socket() { Some(self.sockets.pop_front()?) } else { None };
+                    return Some((frame, socket));
+                }
+            }
+            if self.fill().await.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        let mut bytes = [0; READ_BYTES];
+        let stream = Rc::clone(&self.stream);
+        let read = stream
+            .async_io(Interest::READABLE, || {
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(4))];
+                let mut control = RecvAncillaryBuffer::new(&mut space);
+                let mut parts = [IoSliceMut::new(&mut bytes)];
+                let message = recvmsg(&*stream, &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC)?;
+                for carried in control.drain() {
+                    if let RecvAncillaryMessage::ScmRights(sockets) = carried {
+                        self.sockets.extend(sockets);
+                    }
+                }
+                Ok(message.bytes)
+            })
+            .await?;
+        self.buffer.extend_from_slice(&bytes[..read]);
+        Ok(read)
+    }
+}
--- a/src/net/member.rs
+++ b/src/net/member.rs
@@ -38,17 +38,16 @@
 }
 
 impl Dialer {
-    /// Bounds for `descriptors` connections to members that close theirs after `conn_idle_s`.
-    pub fn new(descriptors: usize, connect_timeout_s: f64, conn_idle_s: f64, counters: Rc<Counters>) -> Self {
-        let (budget, connect_timeout, idle) = (Budget::new(descriptors), Cell::default(), Cell::default());
+    /// For connections within `budget` to members that close theirs after `conn_idle_s`.
+    pub fn new(budget: Rc<Budget>, connect_timeout_s: f64, conn_idle_s: f64, counters: Rc<Counters>) -> Self {
+        let (connect_timeout, idle) = (Cell::default(), Cell::default());
         let dialer = Dialer { budget, connect_timeout, idle, fresh: Cell::new(Duration::MAX), counters };
-        dialer.configure(descriptors, connect_timeout_s, conn_idle_s);
+        dialer.configure(connect_timeout_s, conn_idle_s);
         dialer
     }
 
     /// Takes up new bounds, for the connections that are there as well.
-    pub fn configure(&self, descriptors: usize, connect_timeout_s: f64, conn_idle_s: f64) {
-        self.budget.set_most(descriptors);
+    pub fn configure(&self, connect_timeout_s: f64, conn_idle_s: f64) {
         self.connect_timeout.set(Duration::from_secs_f64(connect_timeout_s.clamp(0.001, 60.0)));
         self.idle.set(Duration::from_secs_f64((conn_idle_s / 2.0).clamp(0.0, 3600.0)));
     }
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -13,7 +13,7 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout};
 
-use super::lifecycle::{IsStopping, Lifecycle};
+use super::lifecycle::{Lifecycle, Unchanged};
 use crate::counters::Counters;
 
 /// Callers served at a time. One more takes the place of the one that has been there for longest: an
@@ -87,7 +87,7 @@
     }
 
     fn answer(&self, line: &[u8]) -> String {
-        let changed = |result: Result<(), IsStopping>| match result {
+        let changed = |result: Result<(), Unchanged>| match result {
             Ok(()) => format!("+OK {}\n", self.lifecycle.phase().name()),
             Err(error) => format!("-ERR {error}\n"),
         };
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -7,6 +7,7 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
+use super::budget::Shares;
 use super::client::Front;
 use super::engine::{Message, Queue};
 use super::member::Dialer;
@@ -33,6 +34,8 @@
     pub queue: Queue,
     /// See `front`.
     pub dialer: Rc<Dialer>,
+    /// See `front`.
+    pub shares: Rc<Shares>,
 }
 
 impl Reload {
@@ -57,11 +60,11 @@
         kept.extend((config.name != self.name).then_some("name"));
         kept.extend((config.listen != self.listen).then_some("listen"));
         kept.extend((config.ops != self.ops).then_some("ops"));
-        let (clients, members) = descriptors(config.sockets);
-        self.dialer.configure(members, settings.connect_timeout_s, settings.conn_idle_s);
+        self.shares.configure(config.sockets);
+        self.dialer.configure(settings.connect_timeout_s, settings.conn_idle_s);
         // The engine takes these up before any transaction that the front numbers by them.
         self.queue.send(Message::Settings(Box::new(settings.clone())));
-        self.front.configure(settings.clone(), clients);
+        self.front.configure(settings.clone());
         self.settings = settings;
         self.discovery
             .send_if_modified(|address| std::mem::replace(address, config.discovery) != config.discovery);
@@ -74,9 +77,3 @@
         }
     }
 }
-
-/// How the descriptors are shared out: six in ten are for clients and call-backs, three for members; the
-/// rest is for discovery, the listener, the configuration, the runtime and the standard streams.
-pub fn descriptors(sockets: usize) -> (usize, usize) {
-    (sockets * 6 / 10, sockets * 3 / 10)
-}
--- a/src/net/spare.rs
+++ b/src/net/spare.rs
@@ -4,10 +4,11 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 /// What a connection that waits for nothing of ours is worth: the least goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Worth {
     /// It has carried neither a transaction nor a call-back, or has had its last answer.
     None,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -101,6 +101,7 @@
             // The deadline sweep: a request ends here at the latest, whatever else went wrong.
             Event::Timer(tag) if tag >= DEADLINE => self.end(RequestId(tag as u32), out),
             Event::Timer(_) => {}
+            Event::SentElsewhere { worker, work } => self.farm.cold_sent(worker, self.now, COLD_ERROR * work),
             Event::Probed { worker, outcome, load } => self.probed(worker, outcome, load, out),
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -180,6 +180,11 @@
         each.fold((0.0, 0.0), |sum, w| (sum.0 + w.0, sum.1 + w.1))
     }
 
+    /// Work that another process of the same dispatcher sent counts against a cold worker as its own does.
+    pub fn cold_sent(&mut self, id: WorkerId, now: f64, work: f64) {
+        self.workers.get_mut(&id).into_iter().for_each(|w| w.cold_sends.push((now, work)));
+    }
+
     /// A worker has proved itself: it is a suspect no longer, and its work comes back step by step.
     pub fn clear(&mut self, id: WorkerId) {
         let Some(w) = self.workers.get_mut(&id) else { return };
--- a/tests/flow.rs
+++ b/tests/flow.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use chutesaddle::api::Outcome;
 use chutesaddle::counters::Counters;
+use chutesaddle::net::budget::Budget;
 use chutesaddle::net::end::ConnectionEnd;
 use chutesaddle::net::engine::Order;
 use chutesaddle::net::flow::{Flow, Payload};
@@ -20,7 +21,7 @@
 /// A flow to a member at `address`, and the engine's end of it.
 fn flow(address: SocketAddr, active: bool, descriptors: usize) -> (Flow, oneshot::Sender<Order>) {
     let counters = Rc::new(Counters::default());
-    let dialer = Rc::new(Dialer::new(descriptors, 0.3, 60.0, Rc::clone(&counters)));
+    let dialer = Rc::new(Dialer::new(Budget::new(descriptors), 0.3, 60.0, Rc::clone(&counters)));
     let member = Rc::new(Member::new("m1".into(), address, dialer));
     member.update(address, active, 0.0);
     let bytes = Bytes::from_static;
--- /dev/null
+++ b/tests/net/handover.rs
@@ -0,0 +1,121 @@
+//! The upgrade: a second process takes over from the one that serves.
+
+use rstest::rstest;
+
+use crate::scenario::{play, PLAIN};
+
+/// Starts the second process and waits for its yes, which it gives when its own discovery has spoken.
+const UPGRADE: &str = "
+    s2 send START
+    s expect log a new process takes over
+    p1 send raw STATUS\\n
+    p1 expect -ERR starting
+    d expect new GET /v1/endpoints
+    d send 200 Transfer-Encoding: chunked
+    d send full m1:active
+    p2 wait STATUS => +OK serving
+    o1 wait STATUS => -ERR replaced
+";
+
+#[rstest]
+#[case::idle_connections_go_on(
+    "
+    c1 send job r1
+    m1 expect r1
+    m1 send 202
+    c2 send call r1 m1 done
+    c1 expect drawn",
+    "
+    s send TERM
+    s expect exit 0
+    c1 send job r2
+    m1 expect new r2
+    m1 send 202
+    c2 send call r2 m1 done
+    c2 expect 200
+    c2 expect 200
+    c1 expect 200 & drawn
+    p9 wait METRICS => svc.ok.draw-map=1"
+)]
+#[case::the_old_one_finishes_its_jobs(
+    "
+    c1 send job r1
+    m1 expect r1
+    m1 send 202",
+    "
+    s send TERM
+    c3 send call r1 m1 done
+    c3 expect 200
+    c1 expect 200 & drawn
+    c1 send job r2
+    m1 expect new r2
+    s expect exit 0
+    s expect log callbacks 1"
+)]
+#[case::an_id_open_in_the_old_one_is_in_use(
+    "
+    c1 send job r1
+    m1 expect r1
+    m1 send 202",
+    "
+    c2 send job r1
+    c2 expect 409
+    m1 expect silence
+    c3 send call r1 m1 done
+    c1 expect drawn
+    p3 wait METRICS => svc.errors.draw-map=1
+    c4 send job r1
+    m1 expect new r1"
+)]
+#[case::silent_connections_are_served_by_the_new_one(
+    "
+    c1 send raw ",
+    "
+    s send TERM
+    s expect exit 0
+    c1 send GET /ready HTTP/1.1||
+    c1 expect HTTP/1.1 200"
+)]
+#[case::the_old_one_goes_on_if_the_new_one_dies(
+    "",
+    "
+    s2 send KILL
+    s expect log the new process is gone
+    o2 wait STATUS => +OK serving
+    c1 send job r1
+    m1 expect r1
+    m1 send 202
+    c2 send call r1 m1 done
+    c1 expect drawn
+    s2 send START
+    d expect new GET /v1/endpoints
+    p3 wait STATUS => +OK serving"
+)]
+#[case::what_holds_for_the_old_one_is_not_the_operators_to_change(
+    "",
+    "
+    o2 send raw PAUSE\\n
+    o2 expect -ERR this process is replaced
+    p3 send raw PAUSE\\n
+    p3 expect +OK draining
+    c1 send GET /ready HTTP/1.1||
+    c1 expect 503"
+)]
+fn a_new_process_takes_over(#[case] before: &str, #[case] after: &str) {
+    let discovery =
+        "d expect GET /v1/endpoints\nd send 200 Transfer-Encoding: chunked\nd send full m1:active\n";
+    play(&PLAIN, &format!("{discovery}s wait pool_updates 1\n{before}{UPGRADE}{after}"));
+}
+
+/// A file that a killed process left behind is no process.
+#[test]
+fn a_stale_socket_file_is_passed_over() {
+    play(
+        &PLAIN,
+        "s send KILL
+        s expect exit killed
+        s2 send START
+        s2 expect log serves on
+        p1 wait STATUS => +OK serving",
+    );
+}
--- a/tests/net/ops.rs
+++ b/tests/net/ops.rs
@@ -157,7 +157,7 @@
     s send TERM
     s expect log stopping
     o2 send raw RESUME\\n
-    o2 expect -ERR the scheduler is stopping
+    o2 expect -ERR this process is stopping
     o3 send raw PAUSE\\n
     o3 expect -ERR
     c2 send call r1 m1 done
--- a/tests/net/scenario.rs
+++ b/tests/net/scenario.rs
@@ -3,14 +3,15 @@
 //!
 //! Actors: `c1`, `c2` .. are connections to the scheduler, of clients and of members that call back; `m1`,
 //! `m2` .. are members, `d` and `d2` are discovery, each with the connection it accepted last; `o1`, `o2` ..
-//! are operators at their door, whose answer reaches to the end; `s` is the scheduler itself.
+//! are operators at their door, whose answer reaches to the end; `s` is the scheduler itself. `s2` is a second
+//! process of it, which `s2 send START` starts beside the first, and `p1`, `p2` .. are operators at its door.
 //!
 //! - `send TEXT`: a message; `|` ends a line of the head, `||` the head. `raw TEXT` is sent as it stands,
 //!   with `\r` and `\n`. Short forms: `job ID CLASS MS HEADERS`, `call ID FROM STATE RESULT`, `202 HEADERS`,
 //!   and of discovery `line TEXT`, `full m1:active` and `some m1:leaving:-5` (started 5 s ago). `s send TERM`
 //!   signals the scheduler, `s send config OLD => NEW` changes its file; `{d2}` stands for an address.
 //! - `expect TEXT`: the next message holds each part, parts set apart by ` & `; `expect new TEXT`: on a new
-//!   connection. Also `eof`, `silence` (nothing has come), and for the scheduler `exit 0` and `log TEXT`.
+//!   connection. Also `eof`, `silence` (nothing has come), and for the scheduler `exit 0`, `exit killed` and `log TEXT`.
 //! - `close`: the connection; `close door`: the listener as well.
 //! - `wait COUNTER N`: until the scheduler has counted that far; of an operator, `wait CALL => PART`: until an
 //!   answer to that call holds the part.
@@ -33,7 +34,7 @@
     /// Descriptors that the scheduler is told of.
     pub sockets: usize,
     /// Descriptors that it has in truth.
-    pub descriptors: usize,
+    pub descriptors: u32,
     /// When members close idle connections.
     pub conn_idle_s: f64,
 }
@@ -48,20 +49,20 @@
         let mut words = line.splitn(3, ' ');
         let mut word = || words.next().unwrap_or_default();
         let (actor, verb, text) = (word(), word(), word());
-        stage.step(actor, verb, text).unwrap_or_else(|why| {
-            panic!("line {}, {line:?}: {why}\nlog:\n{}", number + 1, stage.log.lock().unwrap())
-        });
+        stage
+            .step(actor, verb, text)
+            .unwrap_or_else(|why| panic!("line {}, {line:?}: {why}\nlog:\n{}", number + 1, stage.logs()));
     }
-    let log = stage.log.lock().unwrap().clone();
+    let log = stage.logs();
     assert!(!log.contains("panicked"), "{log}");
 }
 
 struct Stage {
-    scheduler: Child,
+    scheduler: Scheduler,
+    second: Option<Scheduler>,
     address: String,
-    ops: String,
     file: String,
-    log: Arc<Mutex<String>>,
+    descriptors: u32,
     doors: HashMap<String, TcpListener>,
     addresses: HashMap<String, String>,
     wires: HashMap<String, Wire>,
@@ -101,25 +102,22 @@
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let name = format!("{}/{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
         std::fs::write(&name, &config).unwrap();
-        let limit = format!("ulimit -n {}; exec {}", world.descriptors, env!("CARGO_BIN_EXE_chutesaddle"));
-        let mut command = Command::new("sh");
-        command.args(["-c", &limit]);
-        let mut scheduler = command.env("NODE_CONFIG", &name).stderr(Stdio::piped()).spawn().unwrap();
-        let (log, mut stderr) = (Arc::new(Mutex::new(String::new())), scheduler.stderr.take().unwrap());
-        let written = Arc::clone(&log);
-        std::thread::spawn(move || {
-            let mut bytes = [0; 4096];
-            while let Some(n) = stderr.read(&mut bytes).ok().filter(|&n| n > 0) {
-                written.lock().unwrap().push_str(&String::from_utf8_lossy(&bytes[..n]));
-            }
-        });
-        let logged = |before: &str| {
-            let told = || Some(log.lock().unwrap().split_once(before)?.1.split_once('\n')?.0.to_owned());
-            until(told).expect("the scheduler starts")
-        };
-        let (address, ops) = (logged("serves on "), logged("operators call at "));
+        let scheduler = Scheduler::start(&name, world.descriptors);
+        let address = scheduler.logged("serves on ");
         let (wires, silent) = (HashMap::new(), Vec::new());
-        Stage { scheduler, address, ops, file: name, log, doors, addresses, wires, silent, version: 41 }
+        let (second, descriptors) = (None, world.descriptors);
+        Stage {
+            scheduler,
+            second,
+            address,
+            file: name,
+            descriptors,
+            doors,
+            addresses,
+            wires,
+            silent,
+            version: 41,
+        }
     }
 
     fn step(&mut self, actor: &str, verb: &str, text: &str) -> Step {
@@ -131,18 +129,25 @@
                 assert!(config.contains(&old), "no {old:?} in the configuration");
                 std::fs::write(&self.file, config.replace(&old, &new)).map_err(|e| e.to_string())
             }
-            ("s", "send") => {
-                let kill = format!("kill -s {text} {}", self.scheduler.id());
+            ("s2", "send") if text == "START" => {
+                self.second = Some(Scheduler::start(&self.file, self.descriptors));
+                Ok(())
+            }
+            ("s" | "s2", "send") => {
+                let kill = format!("kill -s {text} {}", self.process(actor)?.child.id());
                 Command::new("sh").args(["-c", &kill]).status().map_err(|e| e.to_string())?;
                 Ok(())
             }
-            ("s", "expect") => match text.split_once(' ') {
+            ("s" | "s2", "expect") => match text.split_once(' ') {
                 Some(("exit", code)) => {
-                    let status = until(|| self.scheduler.try_wait().ok().flatten()).ok_or("still runs")?;
-                    same(&status.code().map(|c| c.to_string()).unwrap_or_default(), code)
+                    let child = &mut self.process(actor)?.child;
+                    let status = until(|| child.try_wait().ok().flatten()).ok_or("still runs")?;
+                    same(&status.code().map_or("killed".to_owned(), |code| code.to_string()), code)
+                }
+                Some(("log", part)) => {
+                    let log = &self.process(actor)?.log;
+                    until(|| log.lock().unwrap().contains(part).then_some(())).ok_or("not in the log".into())
                 }
-                Some(("log", part)) => until(|| self.log.lock().unwrap().contains(part).then_some(()))
-                    .ok_or("not in the log".into()),
                 _ => Err("no such expectation".into()),
             },
             ("s", "wait") => {
@@ -152,8 +157,9 @@
             }
             (_, "wait") => {
                 let (call, part) = text.split_once(" => ").ok_or("a call and a part")?;
-                let answered = || self.call(call).is_some_and(|answer| answer.contains(part)).then_some(());
-                until(answered).ok_or_else(|| format!("no such answer, at last {:?}", self.call(call)))
+                let ops = self.door(actor)?;
+                let answered = || self::call(&ops, call).is_some_and(|a| a.contains(part)).then_some(());
+                until(answered).ok_or_else(|| format!("no such answer, at last {:?}", self::call(&ops, call)))
             }
             (_, "send") => {
                 let message = self.message(text);
@@ -190,7 +196,7 @@
             let closed = wire.more().map(|read| read == 0 && wire.read.is_empty());
             return if closed.unwrap_or(true) { Ok(()) } else { Err("there is something".into()) };
         }
-        let message = if actor.starts_with('o') { wire.rest()? } else { wire.message()? };
+        let message = if actor.starts_with(['o', 'p']) { wire.rest()? } else { wire.message()? };
         let missing = text.split(" & ").find(|part| !message.contains(part));
         missing.map_or(Ok(()), |part| Err(format!("no {part:?} in {message:?}")))
     }
@@ -198,9 +204,10 @@
     /// The actor's connection: clients connect, others accept.
     fn wire(&mut self, actor: &str, fresh: bool) -> Result<&mut Wire, String> {
         if fresh || !self.wires.contains_key(actor) {
+            let address =
+                if actor.starts_with(['o', 'p']) { self.door(actor)? } else { self.address.clone() };
             let stream = match self.doors.get(actor) {
-                None if actor.starts_with('o') => TcpStream::connect(&self.ops).map_err(|e| e.to_string())?,
-                None => TcpStream::connect(&self.address).map_err(|e| e.to_string())?,
+                None => TcpStream::connect(&address).map_err(|e| e.to_string())?,
                 Some(door) => {
                     door.set_nonblocking(true).unwrap();
                     let stream = until(|| door.accept().ok()).ok_or("nobody connects")?.0;
@@ -225,12 +232,25 @@
         line.parse().ok()
     }
 
-    fn call(&self, line: &str) -> Option<String> {
-        let mut stream = TcpStream::connect(&self.ops).ok()?;
-        stream.write_all(format!("{line}\n").as_bytes()).ok()?;
-        let mut text = String::new();
-        stream.read_to_string(&mut text).ok()?;
-        Some(text)
+    fn logs(&self) -> String {
+        let processes = std::iter::once(&self.scheduler).chain(&self.second);
+        processes
+            .map(|process| process.log.lock().unwrap().clone())
+            .collect::<Vec<_>>()
+            .join("second process:\n")
+    }
+
+    fn process(&mut self, actor: &str) -> Result<&mut Scheduler, String> {
+        match actor {
+            "s" => Ok(&mut self.scheduler),
+            _ => self.second.as_mut().ok_or("no second process".into()),
+        }
+    }
+
+    /// Where an operator calls.
+    fn door(&mut self, actor: &str) -> Result<String, String> {
+        let process = if actor.starts_with('o') { "s" } else { "s2" };
+        Ok(self.process(process)?.logged("operators call at "))
     }
 
     fn addressed(&self, text: &str) -> String {
@@ -265,13 +285,55 @@
     }
 }
 
-impl Drop for Stage {
+/// A process, and what it has written.
+struct Scheduler {
+    child: Child,
+    log: Arc<Mutex<String>>,
+}
+
+impl Scheduler {
+    /// Starts one with this configuration; those with the same one share a `$TMPDIR` of their own.
+    fn start(config: &str, descriptors: u32) -> Self {
+        let place = format!("{config}.d");
+        std::fs::create_dir_all(&place).unwrap();
+        let limit = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_chutesaddle"));
+        let mut command = Command::new("sh");
+        command.args(["-c", &limit]).env("NODE_CONFIG", config).env("TMPDIR", place);
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let (log, mut stderr) = (Arc::new(Mutex::new(String::new())), child.stderr.take().unwrap());
+        let written = Arc::clone(&log);
+        std::thread::spawn(move || {
+            let mut bytes = [0; 4096];
+            while let Some(n) = stderr.read(&mut bytes).ok().filter(|&n| n > 0) {
+                written.lock().unwrap().push_str(&String::from_utf8_lossy(&bytes[..n]));
+            }
+        });
+        Scheduler { child, log }
+    }
+
+    /// The rest of the line that it has written, or writes, with these words.
+    fn logged(&self, before: &str) -> String {
+        let told = || Some(self.log.lock().unwrap().split_once(before)?.1.split_once('\n')?.0.to_owned());
+        until(told).expect("the scheduler starts")
+    }
+}
+
+impl Drop for Scheduler {
     fn drop(&mut self) {
-        let _ = self.scheduler.kill();
-        let _ = self.scheduler.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
+/// An operator's call.
+fn call(ops: &str, line: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(ops).ok()?;
+    stream.write_all(format!("{line}\n").as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    Some(text)
+}
+
 impl Wire {
     fn more(&mut self) -> Result<usize, String> {
         let mut bytes = [0; 4096];
