Move open jobs to the new process of an upgrade, with their attempts and connections

Checked: in the log, the old process left at the kill in four upgrades of four. Ruled out: lost call-backs (none unmatched, none malformed at either process).

- src/net/engine/moving.rs moves a transaction once every attempt is over or taken by its member; the module's record of it (JobRecord) goes along, so that no attempt is forgotten and no effect happens twice.
- A call-back that overtakes its job goes back and forth between the two until the job is there, eight times at most.
- net/engine.rs was split: what reaches it is in net/engine/messages.rs.
- After SIGTERM the platform waits 3 s and 0.7 s, not the longest deadline: net/lifecycle.rs had read that wrong for messages that become whole late.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,12 +1,16 @@
 //! The interface of the decision module: what a dispatcher tells it ([`Event`]) and what it answers
 //! ([`Action`]). Times are seconds on the caller's clock, which must not run backwards.
 
+use serde::{Deserialize, Serialize};
+
+pub use crate::state::JobRecord;
+
 /// A client request, as the caller numbers it; never reused while the dispatcher lives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u32);
 
 /// A worker; the same id after its process restarts. The number itself carries no meaning.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkerId(pub u64);
 
 /// What repeating a request of a class may do.
@@ -182,7 +186,7 @@
 }
 
 /// A client request that this dispatcher must now answer exactly once.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Request {
     /// Its number.
     pub id: RequestId,
@@ -339,6 +343,8 @@
     Left(RequestId),
     /// A timer of [`Action::Timer`] is due.
     Timer(u64),
+    /// A request that another process of this very dispatcher had taken, with its attempts so far.
+    TakenOver(Box<JobRecord>),
     /// Another process of this very dispatcher, which replaces it or is replaced, has sent work to a worker.
     SentElsewhere {
         /// The worker.
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -109,6 +109,10 @@
     accept_failures,
     /// Transactions handed to the engine.
     transactions_taken,
+    /// Transactions moved to the process that has taken over.
+    transactions_moved,
+    /// Transactions taken over from another process.
+    transactions_adopted,
     /// Transactions answered with a member's result.
     answered_served,
     /// Transactions answered with a reject that the decisions asked for.
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 use super::budget::{Budget, Share};
-use super::engine::{Message, Queue, Reply, Transaction};
+use super::engine::{Message, Moved, Pending, Queue, Reply, Transaction};
 use super::http::{Connection, Head, HttpError};
 use super::lifecycle::Lifecycle;
 use super::link::{Frame, Outbox};
@@ -67,6 +67,15 @@
     PassOn,
 }
 
+/// How the wait for a transaction's answer ends.
+enum JobEnd {
+    Answer(Answer),
+    /// The process that has taken over is to answer.
+    Moved(Box<Moved>),
+    /// The client has left.
+    Left,
+}
+
 /// An answer to write.
 struct Answer {
     status: &'static str,
@@ -99,7 +108,9 @@
         match reply {
             Reply::Served(result) => Answer::new("200 OK", result),
             Reply::Rejected { hold_off_s } => Answer::reject(hold_off_s),
-            Reply::Failed => Answer::new("502 Bad Gateway", "failed, the job may have run\n"),
+            Reply::Failed | Reply::Moved(_) => {
+                Answer::new("502 Bad Gateway", "failed, the job may have run\n")
+            }
             Reply::Duplicate => Answer::new("409 Conflict", "this X-Request-Id is in use\n"),
         }
     }
@@ -278,11 +289,12 @@
             let settings = self.settings();
             let answer = match request::read(&head, &body, &settings) {
                 Ok(Asked::Job(transaction)) => match self.job(&mut connection, transaction, began).await {
-                    Some(answer) => {
+                    JobEnd::Answer(answer) => {
                         worth = Worth::Idle;
                         answer
                     }
-                    None => return,
+                    JobEnd::Moved(moved) => return self.move_on(connection, moved, head.keep_alive),
+                    JobEnd::Left => return,
                 },
                 Ok(Asked::CallBack) => {
                     worth = Worth::CallBack;
@@ -335,12 +347,48 @@
     fn pass_on(&self, connection: Connection, worth: Worth, spoke: bool) {
         let successor = self.successor.borrow().clone();
         // A socket that cannot be passed has broken.
-        if let (Some(successor), Ok(socket)) = (successor, connection.into_socket()) {
+        if let (Some(successor), Ok((socket, _))) = (successor, connection.into_parts()) {
             self.counters.connections_passed_on.add();
             successor.send(Frame::Connection { worth, spoke }, Some(socket));
         }
     }
 
+    /// Passes a connection on with the transaction whose answer its client awaits.
+    fn move_on(&self, connection: Connection, moved: Box<Moved>, keep: bool) {
+        let successor = self.successor.borrow().clone();
+        if let (Some(successor), Ok((socket, ahead))) = (successor, connection.into_parts()) {
+            self.counters.connections_passed_on.add();
+            successor.send(Frame::Transaction { moved, ahead, keep }, Some(socket));
+        }
+    }
+
+    /// Serves a connection that another process has accepted, on which a transaction's answer is awaited.
+    pub async fn take_over(
+        self: Rc<Self>,
+        stream: TcpStream,
+        ahead: Bytes,
+        keep: bool,
+        pending: Pending,
+        left: Duration,
+    ) {
+        let waiting = Waiting::new(&self.waiting);
+        let last = Instant::now() + left + Duration::from_secs_f64(self.settings().answer_slack_s);
+        let _share = self.room().await;
+        self.counters.connections_adopted.add();
+        let mut connection = Connection::resume(stream, &ahead);
+        let written = match self.reply(&mut connection, pending, last).await {
+            JobEnd::Answer(answer) => self.write(&mut connection, answer, keep).await,
+            JobEnd::Moved(moved) => return self.move_on(connection, moved, keep),
+            JobEnd::Left => return,
+        };
+        drop(waiting);
+        match written {
+            Ok(true) => self.serve(connection, Worth::Idle, true).await,
+            Ok(false) => self.linger(connection).await,
+            Err(_) => {}
+        }
+    }
+
     /// Reads a message; `None` if its place is needed for another.
     async fn message(
         &self,
@@ -407,17 +455,17 @@
         }
     }
 
-    /// Takes a transaction and waits for its answer; `None` if the client has left.
+    /// Takes a transaction and waits for its answer.
     async fn job(
         &self,
         connection: &mut Connection,
         mut transaction: Box<Transaction>,
         began: Instant,
-    ) -> Option<Answer> {
+    ) -> JobEnd {
         if !self.lifecycle.takes(began) || self.waiting.get() > self.most_waiting() {
             self.counters.rejected_at_door.add();
             self.counters.class(transaction.class).shed.add();
-            return Some(Answer::reject(COME_BACK_S));
+            return JobEnd::Answer(Answer::reject(COME_BACK_S));
         }
         let longest = self.settings().classes.iter().map(|class| class.deadline_s).fold(0.0, f64::max);
         if let Some(by) = self.lifecycle.answer_by(Duration::from_secs_f64(longest)) {
@@ -425,12 +473,19 @@
         }
         // The engine answers before this; the bound keeps a fault there from holding a client for good.
         let last = transaction.deadline + Duration::from_secs_f64(self.settings().answer_slack_s);
-        let mut pending = self.queue.submit(transaction);
+        let pending = self.queue.submit(transaction);
+        self.reply(connection, pending, last).await
+    }
+
+    async fn reply(&self, connection: &mut Connection, mut pending: Pending, last: Instant) -> JobEnd {
         tokio::select! {
             biased;
-            reply = pending.reply() => Some(reply.into()),
-            () = sleep_until(last) => Some(Reply::Failed.into()),
-            () = connection.closed() => None, // dropping what is pending tells the engine
+            reply = pending.reply() => match reply {
+                Reply::Moved(moved) => JobEnd::Moved(moved),
+                reply => JobEnd::Answer(reply.into()),
+            },
+            () = sleep_until(last) => JobEnd::Answer(Reply::Failed.into()),
+            () = connection.closed() => JobEnd::Left, // dropping what is pending tells the engine
         }
     }
 
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -2,14 +2,17 @@
 //! gives each transaction one [`Reply`]. Everything else reaches the module through its [`Queue`], whose
 //! messages know no protocol, so that another front can stand beside HTTP.
 
+mod messages;
+mod moving;
+
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, Instant};
 
@@ -25,151 +28,16 @@
 use crate::counters::{Counters, Gauge, Gauged};
 use crate::rules::Dispatcher;
 
+pub use messages::{CallBack, Message, News, Order, Passed, Pending, Queue, Reply, Transaction};
+pub use moving::Moved;
+
 /// Kept connections are looked over this often.
 const HOUSEKEEPING: Duration = Duration::from_secs(1);
+/// How often to look, while transactions are moved, whether more of them can be.
+const MOVE_AGAIN: Duration = Duration::from_millis(20);
 /// The largest wait that a timer may ask for.
 const LONGEST_TIMER_S: f64 = 24.0 * 3600.0;
 
-/// A job that a client wants done, as a front hands it over.
-#[derive(Debug)]
-pub struct Transaction {
-    /// Index into [`Settings::classes`].
-    pub class: usize,
-    /// Index into [`Settings::tenants`].
-    pub tenant: usize,
-    /// When its client stops waiting.
-    pub deadline: Instant,
-    /// Slots it needs.
-    pub slots: f64,
-    /// Memory it needs.
-    pub memory: f64,
-    /// Its expected work in seconds, if the client gave a hint.
-    pub hint: Option<f64>,
-    /// What goes to the member.
-    pub payload: Payload,
-}
-
-/// The one final answer to a transaction.
-#[derive(Debug, PartialEq)]
-pub enum Reply {
-    /// The result that a member gave.
-    Served(Bytes),
-    /// Rejected: trying again is harmless, best after this many seconds.
-    Rejected {
-        /// 0 for no advice.
-        hold_off_s: f64,
-    },
-    /// Failed; it may have run.
-    Failed,
-    /// Not taken: its id is in use by a transaction that is still open.
-    Duplicate,
-}
-
-/// What a member tells of a job.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum News {
-    /// It has begun.
-    Started,
-    /// So much of it is done.
-    Progress(f64),
-    /// It is done, with this result.
-    Done(Bytes),
-    /// It has ended in another way.
-    Ended(ConnectionEnd),
-}
-
-/// News of a job, with the names that the member knows.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct CallBack {
-    /// The transaction's name.
-    pub name: Bytes,
-    /// The member's name.
-    pub from: String,
-    /// What it tells.
-    pub news: News,
-    /// Its load report, by name.
-    pub load: Vec<(String, f64)>,
-}
-
-/// What the engine tells a flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Order {
-    /// The job has ended: finish the exchange, if it goes quickly.
-    Settle,
-    /// Give the job up.
-    Withdraw,
-}
-
-/// What reaches the engine.
-pub enum Message {
-    /// A new transaction and where its answer goes.
-    Transaction(RequestId, Box<Transaction>, oneshot::Sender<Reply>),
-    /// The client of a transaction has left.
-    Left(RequestId),
-    /// A member's call-back, and the process that passed it on if it came in elsewhere.
-    CallBack(CallBack, Option<PeerId>),
-    /// A link to another process of an upgrade is up.
-    Joined(PeerId),
-    /// Another process has sent so much work to the member of this name.
-    SentElsewhere(String, f64),
-    /// A flow has ended.
-    FlowEnded(RequestId, usize, ConnectionEnd, Option<String>),
-    /// The pool has changed.
-    Pool(PoolUpdate),
-    /// The settings have changed; they keep the numbers of classes, tenants, zones and kinds.
-    Settings(Box<Settings>),
-}
-
-/// The way to the engine. It has no bound of its own: each connection has at most one message in it at a
-/// time, and the number of connections is bounded.
-#[derive(Clone)]
-pub struct Queue {
-    sender: mpsc::UnboundedSender<Message>,
-    next: Rc<Cell<u32>>,
-}
-
-impl Queue {
-    /// Hands in a message. Once the engine has stopped, the process is ending and nothing is owed.
-    pub fn send(&self, message: Message) {
-        let _ = self.sender.send(message);
-    }
-
-    /// Hands in a transaction.
-    pub fn submit(&self, transaction: Box<Transaction>) -> Pending {
-        let id = RequestId(self.next.get());
-        self.next.set(id.0.wrapping_add(1));
-        let (sender, reply) = oneshot::channel();
-        self.send(Message::Transaction(id, transaction, sender));
-        Pending { id, reply, queue: self.clone(), answered: false }
-    }
-}
-
-/// A transaction that waits for its answer. Dropped before that, its client counts as gone, however the
-/// front's task came to its end.
-pub struct Pending {
-    id: RequestId,
-    reply: oneshot::Receiver<Reply>,
-    queue: Queue,
-    answered: bool,
-}
-
-impl Pending {
-    /// The answer.
-    pub async fn reply(&mut self) -> Reply {
-        let reply = (&mut self.reply).await;
-        self.answered = true;
-        reply.unwrap_or(Reply::Failed)
-    }
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.queue.send(Message::Left(self.id));
-        }
-    }
-}
-
 /// Seconds since the Unix epoch, from one reading of the wall clock and monotonic time from then on. The
 /// module compares it with the members' start times and takes a time of 0 or less for long ago: a clock
 /// that began with this process would make members that just started look warm.
@@ -195,6 +63,8 @@
     worker: WorkerId,
     /// Open until the module has been told its end.
     open: bool,
+    /// The member has taken the job: nothing but call-backs is awaited.
+    taken: Rc<Cell<bool>>,
     /// Given up, so that its end is on its way.
     withdrawn: bool,
     order: Option<oneshot::Sender<Order>>,
@@ -245,6 +115,10 @@
     peers: Peers,
     /// What members were sent lately: a process that joins must count it against the cold ones.
     sends: VecDeque<(Instant, String, f64)>,
+    /// Another process has taken over: transactions are moved there.
+    moves: bool,
+    /// Those that have been.
+    moved: HashSet<Bytes>,
 }
 
 impl Engine {
@@ -276,6 +150,8 @@
             timers_set: 0,
             peers,
             sends: VecDeque::new(),
+            moves: false,
+            moved: HashSet::new(),
         };
         (engine, queue)
     }
@@ -285,7 +161,10 @@
         self.pool(known, true);
         let mut housekeeping = Instant::now() + HOUSEKEEPING;
         loop {
-            let next = self.timers.peek().map_or(housekeeping, |timer| timer.0 .0.min(housekeeping));
+            let mut next = self.timers.peek().map_or(housekeeping, |timer| timer.0 .0.min(housekeeping));
+            if self.moves {
+                next = next.min(Instant::now() + MOVE_AGAIN);
+            }
             tokio::select! {
                 message = self.receiver.recv() => match message {
                     Some(message) => self.take(message),
@@ -301,6 +180,7 @@
                     Due::Deadline(id) => self.deadline(id),
                 }
             }
+            self.move_out();
             if now >= housekeeping {
                 self.keep_house();
                 housekeeping = now + HOUSEKEEPING;
@@ -323,7 +203,12 @@
         match message {
             Message::Transaction(id, transaction, reply) => self.transaction(id, *transaction, reply),
             Message::Left(id) => self.left(id),
-            Message::CallBack(call_back, from) => self.call_back(call_back, from),
+            Message::CallBack(call_back, passed) => self.call_back(call_back, passed),
+            Message::Moved(id, moved, reply) => self.take_over(id, *moved, reply),
+            Message::Succeeded(moves) => {
+                self.moves = moves;
+                self.move_out();
+            }
             Message::Joined(peer) => self.joined(peer),
             Message::SentElsewhere(name, work) => {
                 if let Some(&worker) = self.numbers.get(&name) {
@@ -394,11 +279,9 @@
 
     /// A call-back counts for the attempt at the member that sent it. It may come before the answer that
     /// the member took the job, twice, or for an attempt that is over.
-    fn call_back(&mut self, call_back: CallBack, from: Option<PeerId>) {
+    fn call_back(&mut self, call_back: CallBack, passed: Option<Passed>) {
         self.counters.callbacks.add();
-        if !self.names.contains_key(&call_back.name)
-            && self.peers.pass(from, &Frame::CallBack(call_back.clone()))
-        {
+        if !self.names.contains_key(&call_back.name) && self.pass_on(&call_back, passed) {
             self.counters.callbacks_passed_on.add();
             return;
         }
@@ -473,7 +356,9 @@
         let (all, of_class) = match reply {
             Reply::Served(_) => (&self.counters.answered_served, &class.ok),
             Reply::Rejected { .. } => (&self.counters.answered_rejected, &class.shed),
-            Reply::Failed | Reply::Duplicate => (&self.counters.answered_failed, &class.errors),
+            Reply::Failed | Reply::Duplicate | Reply::Moved(_) => {
+                (&self.counters.answered_failed, &class.errors)
+            }
         };
         all.add();
         of_class.add();
@@ -539,12 +424,20 @@
         let member = self.members.get(&worker).filter(|_| live.reply.is_some());
         let Some(member) = member else {
             // Answered, or the member left, within this very batch: nothing is sent.
-            live.attempts.push(Attempt { worker, open: false, withdrawn: false, order: None });
+            live.attempts.push(Attempt {
+                worker,
+                open: false,
+                taken: Rc::default(),
+                withdrawn: false,
+                order: None,
+            });
             let outcome = ConnectionEnd::MemberInactive.outcome();
             let closed = live.reply.is_none();
             return Some(Event::Ended(Ended { request, attempt, outcome, closed, load: Load::default() }));
         };
-        live.attempts.push(Attempt { worker, open: true, withdrawn: false, order: Some(sender) });
+        let taken = Rc::new(Cell::new(false));
+        let (order_sender, told) = (Some(sender), Rc::clone(&taken));
+        live.attempts.push(Attempt { worker, open: true, taken, withdrawn: false, order: order_sender });
         self.counters.flows.add();
         let (name, work) = (member.name.clone(), live.hint.unwrap_or(0.0));
         let flow = Flow {
@@ -554,18 +447,29 @@
             order,
             counters: Rc::clone(&self.counters),
             class: self.counters.class(live.class),
+            taken: told,
         };
-        let queue = self.queue.clone();
-        tokio::task::spawn_local(async move {
-            let (end, report) = flow.run().await;
-            queue.send(Message::FlowEnded(request, attempt, end, report));
-        });
+        self.spawn(request, attempt, flow.run());
         self.forget_sends();
         self.peers.pass(None, &Frame::Sent(name.clone(), work));
         self.sends.push_back((Instant::now(), name, work));
         None
     }
 
+    /// Runs a flow, and takes up its end.
+    fn spawn(
+        &self,
+        request: RequestId,
+        attempt: usize,
+        flow: impl Future<Output = (ConnectionEnd, Option<String>)> + 'static,
+    ) {
+        let queue = self.queue.clone();
+        tokio::task::spawn_local(async move {
+            let (end, report) = flow.await;
+            queue.send(Message::FlowEnded(request, attempt, end, report));
+        });
+    }
+
     fn set_timer(&mut self, at: Instant, due: Due) {
         self.timers_set += 1;
         self.timers.push(Reverse((at, self.timers_set, due)));
@@ -581,6 +485,14 @@
         load
     }
 
+    /// The number of the member of this name.
+    fn number(&mut self, name: &str) -> WorkerId {
+        *self.numbers.entry(name.to_owned()).or_insert_with(|| {
+            self.numbered += 1;
+            WorkerId(self.numbered)
+        })
+    }
+
     /// Takes up the pool's news and translates it for the module.
     fn pool(&mut self, update: PoolUpdate, cached: bool) {
         let mut entries = Vec::with_capacity(update.members.len());
@@ -591,10 +503,7 @@
             self.members.retain(|_, m| listed(&m.name));
         }
         for line in update.members {
-            let id = *self.numbers.entry(line.name.clone()).or_insert_with(|| {
-                self.numbered += 1;
-                WorkerId(self.numbered)
-            });
+            let id = self.number(&line.name);
             let active = line.state == MemberState::Active;
             match line.address.filter(|_| line.state != MemberState::Left) {
                 Some(address) => {
--- /dev/null
+++ b/src/net/engine/moving.rs
@@ -0,0 +1,145 @@
+//! Moves transactions to the process that has taken over, with all that is known of them: no job may end
+//! with the process that happened to take it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::messages::{CallBack, Passed, Reply};
+use super::{Attempt, Due, Engine, Live};
+use crate::api::{Event, RequestId, WorkerId};
+use crate::counters::Gauge;
+use crate::net::flow::{Flow, Payload};
+use crate::net::link::Frame;
+use crate::net::member::Member;
+use crate::state::JobRecord;
+
+/// A call-back that has been passed on so often belongs nowhere.
+const HOPS: u8 = 8;
+
+/// A transaction on its way to another process.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Moved {
+    class: usize,
+    hint: Option<f64>,
+    /// Time to its deadline.
+    pub left: Duration,
+    attempts: Vec<MovedAttempt>,
+    /// What the decision module knows of it.
+    record: JobRecord,
+    /// What goes to members.
+    pub payload: Payload,
+}
+
+/// An attempt of it, which is over or has been taken by the member.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct MovedAttempt {
+    member: String,
+    address: Option<SocketAddr>,
+    open: bool,
+}
+
+impl Engine {
+    /// Moves what can be moved: transactions whose client waits, and of which no attempt is being sent or
+    /// given up at this moment.
+    pub(super) fn move_out(&mut self) {
+        if !self.moves {
+            return;
+        }
+        let settled = |a: &Attempt| !a.open || (a.taken.get() && !a.withdrawn);
+        let movable = |live: &Live| live.reply.is_some() && live.attempts.iter().all(settled);
+        let movable = self.live.iter().filter(|(_, live)| movable(live)).map(|(&id, _)| id);
+        for id in movable.collect::<Vec<_>>() {
+            let (Some(record), Some(mut live)) = (self.dispatcher.hand_over(id), self.live.remove(&id))
+            else {
+                continue;
+            };
+            let attempts = live.attempts.iter_mut().map(|attempt| {
+                attempt.order(super::Order::Release);
+                let member = self.members.get(&attempt.worker);
+                MovedAttempt {
+                    member: self.name(attempt.worker),
+                    address: member.map(|member| member.address()),
+                    open: attempt.open,
+                }
+            });
+            let moved = Moved {
+                class: live.class,
+                hint: live.hint,
+                left: live.deadline.saturating_duration_since(Instant::now()),
+                attempts: attempts.collect(),
+                record,
+                payload: (*live.payload).clone(),
+            };
+            self.names.remove(&moved.payload.name);
+            self.moved.insert(moved.payload.name.clone());
+            self.counters.transactions_moved.add();
+            let _ = live.reply.take().map(|reply| reply.send(Reply::Moved(Box::new(moved))));
+        }
+    }
+
+    /// Takes over a transaction from another process.
+    pub(super) fn take_over(&mut self, id: RequestId, moved: Moved, reply: oneshot::Sender<Reply>) {
+        let Moved { class, hint, left, attempts, record, payload } = moved;
+        if class >= self.settings.classes.len() || self.names.contains_key(&payload.name) {
+            let _ = reply.send(Reply::Failed);
+            return;
+        }
+        let deadline = Instant::now() + left;
+        let workers: Vec<WorkerId> = attempts.iter().map(|attempt| self.number(&attempt.member)).collect();
+        let payload = Rc::new(payload);
+        self.counters.transactions_adopted.add();
+        self.names.insert(payload.name.clone(), id);
+        let active = Some(Gauge::hold(&self.counters.active));
+        let mut live =
+            Live { class, hint, reply: Some(reply), active, payload, deadline, attempts: Vec::new() };
+        for (n, (attempt, &worker)) in attempts.into_iter().zip(&workers).enumerate() {
+            let taken = Rc::new(std::cell::Cell::new(true));
+            let (sender, order) = oneshot::channel();
+            let member = self.members.get(&worker).cloned().or_else(|| {
+                let dialer = Rc::clone(&self.dialer);
+                attempt.address.map(|address| Rc::new(Member::new(attempt.member, address, dialer)))
+            });
+            if let Some(member) = member.filter(|_| attempt.open) {
+                let flow = Flow {
+                    member,
+                    payload: Rc::clone(&live.payload),
+                    deadline,
+                    order,
+                    counters: Rc::clone(&self.counters),
+                    class: self.counters.class(class),
+                    taken: Rc::clone(&taken),
+                };
+                self.spawn(id, n, flow.run_taken());
+            }
+            live.attempts.push(Attempt {
+                worker,
+                open: attempt.open,
+                taken,
+                withdrawn: false,
+                order: Some(sender),
+            });
+        }
+        self.live.insert(id, live);
+        self.set_timer(deadline, Due::Deadline(id));
+        let record = record.renumbered(id, self.clock.at(deadline), &workers);
+        self.tell(Event::TakenOver(Box::new(record)));
+    }
+
+    /// Passes on a call-back for a transaction that is not open here; whether there is somebody to pass it
+    /// to. One that has been moved is known to the other process, or will be within the next frames.
+    pub(super) fn pass_on(&self, call_back: &CallBack, passed: Option<Passed>) -> bool {
+        let hops = passed.map_or(0, |passed| passed.hops);
+        let from = passed.map(|passed| passed.from).filter(|_| !self.moved.contains(&call_back.name));
+        hops < HOPS && self.peers.pass(from, &Frame::CallBack(call_back.clone(), hops + 1))
+    }
+
+    fn name(&self, worker: WorkerId) -> String {
+        let found = self.numbers.iter().find(|(_, id)| **id == worker);
+        found.map(|(name, _)| name.clone()).unwrap_or_default()
+    }
+}
--- a/src/net/flow.rs
+++ b/src/net/flow.rs
@@ -1,11 +1,13 @@
 //! One server-side flow: a single attempt of a transaction at one pool member, from the connect to the
 //! moment the engine needs it no more.
 
+use std::cell::Cell;
 use std::fmt::Write as _;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
 
@@ -23,7 +25,7 @@
 const DELETE_AGAIN: Duration = Duration::from_millis(200);
 
 /// What a flow sends: passed on as the client wrote it.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Payload {
     /// `X-Request-Id`, by which the member's call-backs name the transaction.
     pub name: Bytes,
@@ -58,6 +60,8 @@
     pub counters: Rc<Counters>,
     /// Counts attempts of the transaction's class.
     pub class: Rc<ClassCounters>,
+    /// Told once the member has taken the job.
+    pub taken: Rc<Cell<bool>>,
 }
 
 impl Flow {
@@ -68,23 +72,21 @@
         // Boxed, so that giving up can drop it, and with it the connection, on the spot.
         let exchange = exchange(&self.member, &self.payload, self.deadline, &self.class.tries, &mut stage);
         let mut exchange = Box::pin(exchange);
-        let (order, running) = tokio::select! {
+        let order = tokio::select! {
             biased;
-            order = &mut self.order => (order, true),
+            order = &mut self.order => order,
             end = &mut exchange => match end {
                 Some(end) => return end,
                 None => {
-                    let _held = Member::hold(&self.member);
-                    ((&mut self.order).await, false)
+                    drop(exchange);
+                    return self.run_taken().await;
                 }
             },
         };
         if !matches!(order, Ok(Order::Withdraw)) {
             // A call-back may overtake the answer. What that answer says is of no more interest, but once it
-            // is read the connection is free; one that has been read must not be waited for again.
-            if running {
-                let _ = timeout(LATE_ANSWER, exchange).await;
-            }
+            // is read the connection is free.
+            let _ = timeout(LATE_ANSWER, exchange).await;
             return (ConnectionEnd::Done, None);
         }
         drop(exchange); // before the answer, the close alone gives the job up
@@ -99,6 +101,19 @@
         }
     }
 
+    /// The rest of a flow once the member has taken the job: call-backs, which go to the engine directly,
+    /// tell what becomes of it.
+    pub async fn run_taken(mut self) -> (ConnectionEnd, Option<String>) {
+        self.taken.set(true);
+        let held = Member::hold(&self.member);
+        let order = (&mut self.order).await;
+        drop(held); // a connection for the DELETE has been kept for long enough
+        match order {
+            Ok(Order::Withdraw) => (self.give_up().await, None),
+            _ => (ConnectionEnd::Done, None),
+        }
+    }
+
     /// Gives up a job that the member has taken. That takes a DELETE whose last byte is written: to a member
     /// that cannot be reached, the attempt stays out, and whatever is sent elsewhere meanwhile would be a
     /// second copy. Either a call-back or the deadline ends it then.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -18,7 +18,7 @@
 
 use super::budget::Shares;
 use super::client::Front;
-use super::engine::{Message, Queue};
+use super::engine::{Message, Passed, Queue};
 use super::lifecycle::Lifecycle;
 use super::link::{link, Frame, Inbox, Outbox};
 use super::peers::{PeerId, Peers};
@@ -160,6 +160,7 @@
             self.part(id);
             let served = self.front.has_successor();
             self.front.succeeded_by(None);
+            self.queue.send(Message::Succeeded(false));
             self.lifecycle.restore();
             eprintln!("chutesaddle: the new process is gone");
             if served {
@@ -188,6 +189,7 @@
                 (Frame::Serving, _) => {
                     self.lifecycle.replace();
                     self.front.succeeded_by(self.peers.outbox(id));
+                    self.queue.send(Message::Succeeded(true));
                 }
                 (Frame::Connection { worth, spoke }, Some(socket)) => {
                     if let Some(stream) = adopted(socket) {
@@ -196,14 +198,23 @@
                 }
                 (Frame::Opened(name), _) => self.peers.note(id, name, true),
                 (Frame::Closed(name), _) => self.peers.note(id, name, false),
-                (Frame::CallBack(call_back), _) => {
-                    self.queue.send(Message::CallBack(call_back, Some(id)));
+                (Frame::Transaction { moved, ahead, keep }, Some(socket)) => {
+                    self.peers.note(id, moved.payload.name.clone(), false);
+                    if let Some(stream) = adopted(socket) {
+                        // Handed in before the next frame is read, which may be a call-back for it.
+                        let (left, pending) = (moved.left, self.queue.take_over(moved));
+                        spawn_local(Rc::clone(&self.front).take_over(stream, ahead, keep, pending, left));
+                    }
+                }
+                (Frame::CallBack(call_back, hops), _) => {
+                    let passed = Some(Passed { from: id, hops });
+                    self.queue.send(Message::CallBack(call_back, passed));
                 }
                 (Frame::Sent(name, work), _) => {
                     self.peers.pass(Some(id), &Frame::Sent(name.clone(), work));
                     self.queue.send(Message::SentElsewhere(name, work));
                 }
-                (Frame::Listener | Frame::Connection { .. }, _) => {}
+                (Frame::Listener | Frame::Connection { .. } | Frame::Transaction { .. }, _) => {}
             }
         }
     }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -177,13 +177,17 @@
         TcpStream::connect(address).await.map(Connection::new)
     }
 
-    /// The socket alone. Nothing that was read may be left.
+    /// The socket, and what was read from it and not taken.
     ///
     /// # Errors
     /// As the system reports them.
-    pub fn into_socket(self) -> io::Result<OwnedFd> {
-        debug_assert!(self.buffer.is_empty());
-        self.stream.into_std().map(OwnedFd::from)
+    pub fn into_parts(self) -> io::Result<(OwnedFd, Bytes)> {
+        Ok((self.stream.into_std()?.into(), self.buffer.freeze()))
+    }
+
+    /// A connection on which so much has been read before.
+    pub fn resume(stream: TcpStream, ahead: &[u8]) -> Self {
+        Connection { buffer: BytesMut::from(ahead), ..Connection::new(stream) }
     }
 
     /// Whether nothing at all is there to read: neither bytes nor the other side's end.
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -15,8 +15,8 @@
 const IDLE_STAYS: Duration = Duration::from_millis(500);
 /// A paused scheduler holds no transaction that came later than this after the call.
 const PAUSE_HOLDS: Duration = Duration::from_millis(1900);
-/// The time to answer what was taken counts as at least this long.
-const LEAST_DEADLINE: Duration = Duration::from_secs(3);
+/// After SIGTERM the platform waits for the longest deadline, but for no more than this, and a little longer.
+const PATIENCE: Duration = Duration::from_secs(3);
 
 /// What the scheduler does about clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -113,11 +113,11 @@
         self.phase().empties() && Instant::now() >= self.left_at.get() + IDLE_STAYS
     }
 
-    /// By when a transaction must be answered that is taken now, whatever its client allows: what is open
-    /// when the platform's patience ends would be lost. `longest` is the longest deadline of any class.
+    /// By when a transaction must be answered whose message is whole only now, long after SIGTERM: what is
+    /// open when the platform's patience ends would be lost. `longest` is the longest deadline of any class.
     pub fn answer_by(&self, longest: Duration) -> Option<Instant> {
-        let stopping = self.phase() == Phase::Stopping;
-        stopping.then(|| self.left_at.get() + longest.max(LEAST_DEADLINE))
+        let late = self.phase() == Phase::Stopping && Instant::now() > self.left_at.get() + STOP_TAKES;
+        late.then(|| self.left_at.get() + longest.min(PATIENCE) + STOP_TAKES / 2)
     }
 
     fn leave(&self, phase: Phase, takes: Duration) {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -18,7 +18,7 @@
 use tokio::net::UnixStream;
 use tokio::sync::mpsc;
 
-use super::engine::CallBack;
+use super::engine::{CallBack, Moved};
 use super::spare::Worth;
 
 /// The longest frame: a call-back with its result is the largest.
@@ -40,19 +40,28 @@
         /// It has carried a message before.
         spoke: bool,
     },
+    /// A transaction, with the connection on which its client waits.
+    Transaction {
+        /// The transaction.
+        moved: Box<Moved>,
+        /// What the client has sent beyond it.
+        ahead: Bytes,
+        /// The client keeps the connection.
+        keep: bool,
+    },
     /// A transaction of this name is open.
     Opened(Bytes),
     /// It is open no more.
     Closed(Bytes),
-    /// A call-back for a transaction that is not open where it came in.
-    CallBack(CallBack),
+    /// A call-back for a transaction that is not open where it came in, and how often it was passed on.
+    CallBack(CallBack, u8),
     /// So much work went to the member of this name.
     Sent(String, f64),
 }
 
 impl Frame {
     fn carries_socket(&self) -> bool {
-        matches!(self, Frame::Listener | Frame::Connection { .. })
+        matches!(self, Frame::Listener | Frame::Connection { .. } | Frame::Transaction { .. })
     }
 }
 
--- a/src/net/member.rs
+++ b/src/net/member.rs
@@ -132,6 +132,11 @@
         self.active.set(false);
     }
 
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
     /// Whether it takes work.
     pub fn is_active(&self) -> bool {
         self.active.get()
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -82,6 +82,11 @@
         self.farm.suspects.len()
     }
 
+    /// Hands a request over to another process of this dispatcher: nothing of it is left here.
+    pub fn hand_over(&mut self, id: RequestId) -> Option<JobRecord> {
+        self.jobs.hand_over(id, &mut self.farm)
+    }
+
     /// Takes one event and appends what is to be done. News of what is no longer held is passed over.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         self.now = if now.is_finite() { self.now.max(now) } else { self.now };
@@ -90,6 +95,7 @@
             Event::ListFailed => self.list_failed(out),
             Event::Request(req) if self.jobs.all.contains_key(&req.id) => {}
             Event::Request(req) => self.accept(req, out),
+            Event::TakenOver(record) => self.begin(record.0, out),
             Event::Started { request, attempt } => self.news(request, attempt, 0.0, out),
             Event::Progress { request, attempt, share } => self.news(request, attempt, share, out),
             Event::Head { request, .. } => self.jobs.streams(request),
@@ -149,11 +155,16 @@
         if self.full_load() && priority < self.mean(&self.priority, priority) {
             return out.push(Action::Refuse { request: id, hold_off_s: self.s.max_hold_off_s.min(aim) });
         }
-        out.push(Action::Timer {
-            after_s: (left - 2.0 * self.s.tick_s).max(0.0),
-            tag: DEADLINE + u64::from(id.0),
-        });
-        self.jobs.add(Job::new(req, work, aim, since, priority));
+        self.begin(Job::new(req, work, aim, since, priority), out);
+    }
+
+    /// Sees to a job from now on, whether it is new or comes from another process of this dispatcher.
+    fn begin(&mut self, job: Job, out: &mut Vec<Action>) {
+        let (id, left) = (job.req.id, job.req.deadline - self.now);
+        let after_s = (left - 2.0 * self.s.tick_s).max(0.0);
+        out.push(Action::Timer { after_s, tag: DEADLINE + u64::from(id.0) });
+        self.farm.occupy(&job);
+        self.jobs.add(job);
         self.ask(id, out);
         self.wake_in(self.round, out);
         let check = !std::mem::replace(&mut self.checking, true);
@@ -290,18 +301,8 @@
     /// Takes up a load report: wholly if just asked for, else half, as it tells of a while back.
     fn report(&mut self, id: WorkerId, load: Load, weight: f64) {
         let Some(w) = self.farm.workers.get(&id) else { return };
-        let (others, total) = (self.others(w), self.farm.slots_of(w));
-        let Some(w) = self.farm.workers.get_mut(&id) else { return };
-        if let Some(free) = load.free_slots {
-            w.slots.total = total.max(free.round());
-            let held = w.slots.total - free + load.queue.unwrap_or(0.0) - w.slots.mine;
-            (w.slots.others, w.slots.at) = (others + weight * (held.max(0.0) - others), self.now);
-            self.farm.kinds[w.info.kind].slots = w.slots.total;
-        }
-        if let Some(free) = load.free_memory {
-            w.memory.total = w.memory.total.max(free.round()).max(total);
-            w.memory.others = (w.memory.total - free - w.memory.mine).max(0.0);
-        }
+        let known = (self.others(w), self.farm.slots_of(w));
+        self.farm.report(id, load, weight, known, self.now);
     }
 
     fn news(&mut self, id: RequestId, attempt: usize, share: f64, out: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::api::*;
 
 /// Complexity classes, as many as in the paper; each spans a factor of two of work.
@@ -194,6 +196,28 @@
         }
     }
 
+    /// Takes up a load report by so much of its weight; `others` and `total` are slots as thought of before.
+    pub fn report(&mut self, id: WorkerId, load: Load, weight: f64, (others, total): (f64, f64), now: f64) {
+        let Some(w) = self.workers.get_mut(&id) else { return };
+        if let Some(free) = load.free_slots {
+            w.slots.total = total.max(free.round());
+            let held = w.slots.total - free + load.queue.unwrap_or(0.0) - w.slots.mine;
+            (w.slots.others, w.slots.at) = (others + weight * (held.max(0.0) - others), now);
+            self.kinds[w.info.kind].slots = w.slots.total;
+        }
+        if let Some(free) = load.free_memory {
+            w.memory.total = w.memory.total.max(free.round()).max(total);
+            w.memory.others = (w.memory.total - free - w.memory.mine).max(0.0);
+        }
+    }
+
+    /// Attempts that another process of this dispatcher has sent are out for this one from now on.
+    pub fn occupy(&mut self, job: &Job) {
+        for a in job.attempts.iter().filter(|a| a.out) {
+            self.workers.get_mut(&a.worker).into_iter().for_each(|w| w.take(&job.req, a.start.is_some()));
+        }
+    }
+
     /// Adds a value to what is known of a worker and its kind; they fade at different paces.
     pub fn learn(&mut self, id: WorkerId, cell: usize, times: (f64, f64, f64), value: f64) {
         let Some(w) = self.workers.get_mut(&id) else { return };
@@ -243,6 +267,7 @@
 }
 
 /// One attempt of a job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Attempt {
     pub worker: WorkerId,
     pub sent: f64,
@@ -272,6 +297,7 @@
 }
 
 /// A request and its attempts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Job {
     pub req: Request,
     pub work: f64,
@@ -299,6 +325,19 @@
     }
 }
 
+/// What a dispatcher knows of a request, for another process of it to go on with.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord(pub(crate) Job);
+
+impl JobRecord {
+    /// The same in another process's numbers; `workers` are those of the attempts, in their order.
+    pub fn renumbered(mut self, id: RequestId, deadline: f64, workers: &[WorkerId]) -> Self {
+        (self.0.req.id, self.0.req.deadline) = (id, deadline);
+        self.0.attempts.iter_mut().zip(workers).for_each(|(a, &worker)| a.worker = worker);
+        self
+    }
+}
+
 /// A held job in a round.
 pub(crate) struct Ranked {
     pub priority: f64,
@@ -315,10 +354,23 @@
 
 impl Jobs {
     pub fn add(&mut self, job: Job) {
-        self.held.push(job.req.id);
+        self.held.extend(job.held.then_some(job.req.id));
         self.all.insert(job.req.id, job);
     }
 
+    /// Gives up a request, with its attempts, to another process of this dispatcher.
+    pub fn hand_over(&mut self, id: RequestId, farm: &mut Farm) -> Option<JobRecord> {
+        let job = self.all.remove(&id)?;
+        self.held.retain(|held| *held != id);
+        for a in job.attempts.iter().filter(|a| a.out) {
+            farm.workers
+                .get_mut(&a.worker)
+                .into_iter()
+                .for_each(|w| w.give_back(&job.req, a.start.is_some()));
+        }
+        Some(JobRecord(job))
+    }
+
     /// Puts a request back among those held; false if it is over or held already.
     pub fn hold(&mut self, id: RequestId) -> bool {
         let Some(job) = self.all.get_mut(&id).filter(|j| !j.ended && !j.held) else { return false };
