--- a/src/api.rs
+++ b/src/api.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use crate::state::JobRecord;
+pub use crate::state::{JobRecord, Learnt};
 
 /// A client request, as the caller numbers it; never reused while the dispatcher lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -205,7 +205,7 @@
 }
 
 /// Whether a worker takes work.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkerState {
     /// It does.
     Ready,
@@ -217,7 +217,7 @@
 }
 
 /// A line of the worker list.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WorkerInfo {
     /// The worker.
     pub id: WorkerId,
@@ -343,6 +343,8 @@
     Left(RequestId),
     /// A timer of [`Action::Timer`] is due.
     Timer(u64),
+    /// What another process of this very dispatcher, which it replaces, has learnt.
+    Learnt(Box<Learnt>),
     /// A request that another process of this very dispatcher had taken, with its attempts so far.
     TakenOver(Box<JobRecord>),
     /// Another process of this very dispatcher, which replaces it or is replaced, has sent work to a worker.
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -28,7 +28,7 @@
 use crate::counters::{Counters, Gauge, Gauged};
 use crate::rules::Dispatcher;
 
-pub use messages::{CallBack, Message, News, Order, Passed, Pending, Queue, Reply, Transaction};
+pub use messages::{CallBack, Message, News, Order, Passed, Pending, Queue, Reply, Side, Transaction};
 pub use moving::Moved;
 
 /// Kept connections are looked over this often.
@@ -209,7 +209,15 @@
                 self.moves = moves;
                 self.move_out();
             }
-            Message::Joined(peer) => self.joined(peer),
+            Message::Joined(peer, side) => self.joined(peer, side),
+            Message::Learnt(learnt, names) => {
+                let number = |id| {
+                    let name = &names.iter().find(|(known, _)| *known == id)?.1;
+                    self.numbers.get(name).copied()
+                };
+                let learnt = learnt.renumbered(number);
+                self.tell(Event::Learnt(Box::new(learnt)));
+            }
             Message::SentElsewhere(name, work) => {
                 if let Some(&worker) = self.numbers.get(&name) {
                     self.tell(Event::SentElsewhere { worker, work });
@@ -318,7 +326,12 @@
 
     /// Tells a process that has joined what it must know: the jobs that are open, and the work that cold
     /// members have been sent lately.
-    fn joined(&mut self, peer: PeerId) {
+    fn joined(&mut self, peer: PeerId, side: Side) {
+        if side == Side::New {
+            let learnt = self.dispatcher.learnt();
+            let names = learnt.workers().map(|worker| (worker, self.name(worker))).collect();
+            self.peers.tell(peer, Frame::Learnt(Box::new(learnt), names));
+        }
         for name in self.names.keys() {
             self.peers.tell(peer, Frame::Opened(name.clone()));
         }
--- a/src/net/engine/messages.rs
+++ b/src/net/engine/messages.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::moving::Moved;
-use crate::api::{RequestId, Settings};
+use crate::api::{Learnt, RequestId, Settings, WorkerId};
 use crate::net::discovery::PoolUpdate;
 use crate::net::end::ConnectionEnd;
 use crate::net::flow::Payload;
@@ -98,6 +98,15 @@
     Release,
 }
 
+/// On which side of an upgrade another process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// It is replaced by this one.
+    Old,
+    /// It replaces this one.
+    New,
+}
+
 /// What reaches the engine.
 pub enum Message {
     /// A new transaction and where its answer goes.
@@ -110,8 +119,10 @@
     Moved(RequestId, Box<Moved>, oneshot::Sender<Reply>),
     /// Whether another process has taken over, so that transactions are to be moved there.
     Succeeded(bool),
-    /// A link to another process of an upgrade is up.
-    Joined(PeerId),
+    /// A link to another process of an upgrade is up, which is to replace this one or is replaced by it.
+    Joined(PeerId, Side),
+    /// What the process that is replaced has learnt, with the names of the members in its numbers.
+    Learnt(Box<Learnt>, Vec<(WorkerId, String)>),
     /// Another process has sent so much work to the member of this name.
     SentElsewhere(String, f64),
     /// A flow has ended.
--- a/src/net/engine/moving.rs
+++ b/src/net/engine/moving.rs
@@ -138,7 +138,8 @@
         hops < HOPS && self.peers.pass(from, &Frame::CallBack(call_back.clone(), hops + 1))
     }
 
-    fn name(&self, worker: WorkerId) -> String {
+    /// The name of a member.
+    pub(super) fn name(&self, worker: WorkerId) -> String {
         let found = self.numbers.iter().find(|(_, id)| **id == worker);
         found.map(|(name, _)| name.clone()).unwrap_or_default()
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -18,7 +18,7 @@
 
 use super::budget::Shares;
 use super::client::Front;
-use super::engine::{Message, Passed, Queue};
+use super::engine::{Message, Passed, Queue, Side};
 use super::lifecycle::Lifecycle;
 use super::link::{link, Frame, Inbox, Outbox};
 use super::peers::{PeerId, Peers};
@@ -114,7 +114,7 @@
             Some(Predecessor { outbox, inbox }) => {
                 eprintln!("chutesaddle: taking over from the process that serves");
                 let this = Rc::clone(&self);
-                let id = self.join(outbox.clone());
+                let id = self.join(outbox.clone(), Side::Old);
                 spawn_local(async move {
                     this.hear(id, inbox).await;
                     this.part(id);
@@ -155,7 +155,7 @@
             eprintln!("chutesaddle: a new process takes over");
             let (outbox, inbox) = link(stream);
             outbox.send(Frame::Listener, Some(socket));
-            let id = self.join(outbox.clone());
+            let id = self.join(outbox.clone(), Side::New);
             self.hear(id, inbox).await;
             self.part(id);
             let served = self.front.has_successor();
@@ -169,10 +169,10 @@
         }
     }
 
-    fn join(&self, outbox: Outbox) -> PeerId {
+    fn join(&self, outbox: Outbox, side: Side) -> PeerId {
         let id = self.peers.join(outbox);
         self.peers.introduce(id);
-        self.queue.send(Message::Joined(id));
+        self.queue.send(Message::Joined(id, side));
         self.shares.among(1 + self.peers.count());
         id
     }
@@ -196,6 +196,7 @@
                         spawn_local(Rc::clone(&self.front).adopt(stream, worth, spoke));
                     }
                 }
+                (Frame::Learnt(learnt, names), _) => self.queue.send(Message::Learnt(learnt, names)),
                 (Frame::Opened(name), _) => self.peers.note(id, name, true),
                 (Frame::Closed(name), _) => self.peers.note(id, name, false),
                 (Frame::Transaction { moved, ahead, keep }, Some(socket)) => {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -20,6 +20,7 @@
 
 use super::engine::{CallBack, Moved};
 use super::spare::Worth;
+use crate::api::{Learnt, WorkerId};
 
 /// The longest frame: a call-back with its result is the largest.
 const FRAME_BYTES: usize = 256 * 1024;
@@ -40,6 +41,8 @@
         /// It has carried a message before.
         spoke: bool,
     },
+    /// From the old one: what it has learnt of the members, with their names.
+    Learnt(Box<Learnt>, Vec<(WorkerId, String)>),
     /// A transaction, with the connection on which its client waits.
     Transaction {
         /// The transaction.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,13 +41,8 @@
     turn: usize,           // where in it the next question goes
     offers: Vec<WorkerId>, // the candidates of a round: those that answered lately, or all
     jobs: Jobs,
-    fleet: Mean,
-    mean_work: Mean,        // ln of hinted work: places the complexity classes
-    start_wait: Mean,       // from send to start
-    busy: Mean,             // share of the workers asked or sent to that had no slot free
-    priority: Mean,         // of the requests
-    longest_left: Vec<f64>, // by class: time to the deadline of a client's first try
-    quotas: Vec<Bucket>,    // by tenant: this dispatcher's part
+    seen: Seen,
+    quotas: Vec<Bucket>, // by tenant: this dispatcher's part
     wake_at: f64,
     checking: bool,
     list_failures: u32,
@@ -65,7 +60,7 @@
     pub fn configure(&mut self, s: Settings) {
         self.s = Settings { dispatchers: s.dispatchers.max(1), ..s };
         self.round = (ROUND_PER_AIM * self.s.extremes().0.min(1.0)).max(2.0 * self.s.tick_s).max(1e-3);
-        self.longest_left.resize(self.s.classes.len(), 0.0);
+        self.seen.longest_left.resize(self.s.classes.len(), 0.0);
         for (i, tenant) in self.s.tenants.iter().enumerate() {
             let part = tenant.quota_per_s / self.s.dispatchers as f64;
             let quota = Bucket::full(part, by_chance(QUOTA_BURST * part));
@@ -82,6 +77,11 @@
         self.farm.suspects.len()
     }
 
+    /// What another process of this dispatcher should know from its start.
+    pub fn learnt(&self) -> Learnt {
+        self.farm.learnt(&self.seen)
+    }
+
     /// Hands a request over to another process of this dispatcher: nothing of it is left here.
     pub fn hand_over(&mut self, id: RequestId) -> Option<JobRecord> {
         self.jobs.hand_over(id, &mut self.farm)
@@ -95,6 +95,7 @@
             Event::ListFailed => self.list_failed(out),
             Event::Request(req) if self.jobs.all.contains_key(&req.id) => {}
             Event::Request(req) => self.accept(req, out),
+            Event::Learnt(learnt) => self.seen = self.farm.take_up(*learnt),
             Event::TakenOver(record) => self.begin(record.0, out),
             Event::Started { request, attempt } => self.news(request, attempt, 0.0, out),
             Event::Progress { request, attempt, share } => self.news(request, attempt, share, out),
@@ -137,10 +138,10 @@
             return out.push(Action::Refuse { request: id, hold_off_s: 0.0 });
         };
         let work = req.hint.filter(|h| h.is_finite() && *h > 0.0);
-        let work = work.unwrap_or_else(|| self.mean(&self.mean_work, class.aim_s.max(1e-3).ln()).exp());
-        self.mean_work.add(self.now, KIND_RECENT, work.ln(), 1.0);
+        let work = work.unwrap_or_else(|| self.mean(&self.seen.mean_work, class.aim_s.max(1e-3).ln()).exp());
+        self.seen.mean_work.add(self.now, KIND_RECENT, work.ln(), 1.0);
         // A client's later tries have less time left than its first: the aim counts from the first.
-        let longest = &mut self.longest_left[req.class];
+        let longest = &mut self.seen.longest_left[req.class];
         *longest = longest.max(left.min(class.deadline_s));
         let since = (req.deadline - *longest).min(self.now);
         let aim = (class.aim_s + class.stretch * work).min(class.deadline_s).max(1e-3);
@@ -151,8 +152,8 @@
         let ratios = [t_min / class.aim_s.max(1e-3), n / n_max, class.worth / worth_max];
         let eq1: f64 = EQ1.iter().zip(ratios).map(|(weight, ratio)| weight * ratio).sum();
         let priority = if inside { eq1 } else { eq1 - LAST * (1.0 - self.s.over_share_worth) };
-        self.priority.add(self.now, KIND_RECENT, priority, 1.0);
-        if self.full_load() && priority < self.mean(&self.priority, priority) {
+        self.seen.priority.add(self.now, KIND_RECENT, priority, 1.0);
+        if self.full_load() && priority < self.mean(&self.seen.priority, priority) {
             return out.push(Action::Refuse { request: id, hold_off_s: self.s.max_hold_off_s.min(aim) });
         }
         self.begin(Job::new(req, work, aim, since, priority), out);
@@ -245,12 +246,12 @@
     }
 
     fn complexity(&self, work: f64) -> usize {
-        let steps = (work.ln() - self.mean(&self.mean_work, work.ln())) / std::f64::consts::LN_2;
+        let steps = (work.ln() - self.mean(&self.seen.mean_work, work.ln())) / std::f64::consts::LN_2;
         (steps.round() + 2.0).clamp(0.0, (CLASSES - 1) as f64) as usize
     }
 
     fn kind_ratio(&self, kind: usize) -> f64 {
-        self.mean(&self.farm.kinds[kind].speed, self.mean(&self.fleet, 0.0))
+        self.mean(&self.farm.kinds[kind].speed, self.mean(&self.seen.fleet, 0.0))
     }
 
     /// Run time / hinted work in a complexity class, leaning on the worker's mean, its kind, the fleet.
@@ -264,11 +265,11 @@
     }
 
     fn fleet_run(&self) -> f64 {
-        (self.mean(&self.mean_work, 0.0) + self.mean(&self.fleet, 0.0)).exp().clamp(0.05, 60.0)
+        (self.mean(&self.seen.mean_work, 0.0) + self.mean(&self.seen.fleet, 0.0)).exp().clamp(0.05, 60.0)
     }
 
     fn usual_wait(&self) -> f64 {
-        self.mean(&self.start_wait, self.round)
+        self.mean(&self.seen.start_wait, self.round)
     }
 
     /// Whether own traffic tells which workers are free: more than answers without reports, up to a point.
@@ -283,13 +284,13 @@
 
     /// Full load where no dispatcher sees it in its own queue: hardly any worker has a slot free.
     fn full_load(&self) -> bool {
-        !self.sees() && self.busy.or(self.now, SOON, TRUST, 0.5) > FULL_LOAD
+        !self.sees() && self.seen.busy.or(self.now, SOON, TRUST, 0.5) > FULL_LOAD
     }
 
     /// Slots that the other dispatchers are thought to hold: what was last learnt, fading to the usual.
     fn others(&self, w: &Worker) -> f64 {
         let alone = if self.s.dispatchers > 1 { 1.0 } else { 0.0 };
-        let usual = alone * self.busy.or(self.now, SOON, TRUST, 0.5) * self.farm.slots_of(w);
+        let usual = alone * self.seen.busy.or(self.now, SOON, TRUST, 0.5) * self.farm.slots_of(w);
         usual + (w.slots.others - usual) * (-(self.now - w.slots.at).max(0.0) / self.fleet_run()).exp()
     }
 
@@ -319,8 +320,8 @@
             return self.farm.clear(id); // it got on
         }
         w.started(self.now, total, waited);
-        self.busy.add(self.now, SOON, f64::from(u8::from(waited)), 1.0);
-        self.start_wait.add(self.now, RECENT, self.now - sent, 1.0);
+        self.seen.busy.add(self.now, SOON, f64::from(u8::from(waited)), 1.0);
+        self.seen.start_wait.add(self.now, RECENT, self.now - sent, 1.0);
         self.wake_in(self.round, out);
     }
 
@@ -361,7 +362,7 @@
             let warm = self.farm.workers.get(&worker).is_some_and(|w| self.warmth(w, 0.0) >= 1.0);
             if let Some(start) = start.filter(|_| warm) {
                 let value = ((self.now - start).max(1e-4) / work).ln();
-                self.fleet.add(self.now, KIND_RECENT, value, 1.0);
+                self.seen.fleet.add(self.now, KIND_RECENT, value, 1.0);
                 self.farm.learn(worker, self.complexity(work), (self.now, RECENT, KIND_RECENT), value);
             }
             self.farm.clear(worker);
@@ -395,7 +396,7 @@
             out.push(Action::Probe(id));
         }
         let Some(job) = self.jobs.all.get_mut(&id) else { return };
-        self.busy.add(now, SOON, f64::from(u8::from(job.asks > 0)), 1.0);
+        self.seen.busy.add(now, SOON, f64::from(u8::from(job.asks > 0)), 1.0);
         job.ask_at = now + ASK_AGAIN * 1.5f64.powi(job.asks);
         job.asks += 1;
     }
@@ -486,7 +487,7 @@
         self.wake_at = f64::INFINITY;
         self.jobs.drop_placed();
         let kinds = (0..self.farm.kinds.len()).map(|k| self.kind_ratio(k));
-        let fastest = kinds.fold(self.mean(&self.fleet, 0.0), f64::min).exp();
+        let fastest = kinds.fold(self.mean(&self.seen.fleet, 0.0), f64::min).exp();
         // Top jobs first; what cannot be served in time frees its place, before its aim has passed.
         let (mut order, mut hopeless) = (Vec::with_capacity(self.jobs.held.len()), Vec::new());
         for &id in &self.jobs.held {
@@ -533,7 +534,7 @@
     /// Full load (Eq. 2): the time to clear what waits against the mean aim, stretched to the paper's 25%.
     fn shed(&self, order: &mut Vec<Ranked>, hopeless: &mut Vec<RequestId>) {
         let part = by_chance(self.farm.slots() / self.s.dispatchers as f64);
-        let (rate, control) = (part / self.mean(&self.fleet, 0.0).exp(), self.round + self.usual_wait());
+        let (rate, control) = (part / self.mean(&self.seen.fleet, 0.0).exp(), self.round + self.usual_wait());
         let cost = |r: &Ranked| (self.jobs.all[&r.id].work / rate, self.jobs.all[&r.id].aim + control);
         let (mut clear, mut aims) = order.iter().map(cost).fold((0.0, 0.0), |s, c| (s.0 + c.0, s.1 + c.1));
         while order.len() > 1 && clear > DEGRADE * aims / order.len() as f64 {
@@ -570,7 +571,7 @@
             let mut score = finish / w.stability.max(0.1);
             if !urgent && !mostly_urgent && score < SAFE * slack {
                 // Bulk: among those that still make the aim, the roomiest; of these the faster.
-                let slow = self.ratio(w, 2) / self.mean(&self.fleet, 0.0).exp();
+                let slow = self.ratio(w, 2) / self.mean(&self.seen.fleet, 0.0).exp();
                 score = -1.0 - free / self.farm.slots_of(w) / away + 0.1 * slow;
             }
             best = best.filter(|b| b.0 <= score).or(Some((score, id)));
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,7 +18,7 @@
 pub(crate) const DEADLINE: u64 = 1 << 32;
 
 /// A sum and its weight, as they were at a time; they fade from then on.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Mean {
     pub sum: f64,
     pub weight: f64,
@@ -43,6 +43,44 @@
     }
 }
 
+/// What a dispatcher has seen of its traffic; all of it fades but the last.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Seen {
+    /// ln(run time / hinted work) over all workers.
+    pub fleet: Mean,
+    /// ln of hinted work: places the complexity classes.
+    pub mean_work: Mean,
+    /// From send to start.
+    pub start_wait: Mean,
+    /// Share of the workers asked or sent to that had no slot free.
+    pub busy: Mean,
+    /// Of the requests.
+    pub priority: Mean,
+    /// By class: time to the deadline of a client's first try.
+    pub longest_left: Vec<f64>,
+}
+
+/// What a dispatcher has learnt, for another process of it to start from.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Learnt {
+    seen: Seen,
+    kinds: Vec<Kind>,
+    workers: Vec<Worker>,
+}
+
+impl Learnt {
+    /// The workers that it knows something of.
+    pub fn workers(&self) -> impl Iterator<Item = WorkerId> + '_ {
+        self.workers.iter().map(|w| w.info.id)
+    }
+
+    /// The same in another process's numbers.
+    pub fn renumbered(mut self, number: impl Fn(WorkerId) -> Option<WorkerId>) -> Self {
+        self.workers.retain_mut(|w| number(w.info.id).map(|id| w.info.id = id).is_some());
+        self
+    }
+}
+
 /// Requests left inside a quota.
 pub(crate) struct Bucket {
     pub per_s: f64,
@@ -66,7 +104,7 @@
 }
 
 /// Slots or memory of a worker: all of it, what others are thought to hold, what this dispatcher does.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Pool {
     pub total: f64,
     pub others: f64,
@@ -76,7 +114,7 @@
 }
 
 /// What is known of a kind of worker.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Kind {
     pub speed: Mean,
     pub slots: f64,
@@ -85,7 +123,7 @@
 }
 
 /// What is known of a worker.
-#[derive(Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Worker {
     pub info: WorkerInfo,
     /// ln(run time / hinted work) by complexity class, and over all.
@@ -187,6 +225,35 @@
         self.workers.get_mut(&id).into_iter().for_each(|w| w.cold_sends.push((now, work)));
     }
 
+    /// What is known of the workers, with what was seen of the traffic.
+    pub fn learnt(&self, seen: &Seen) -> Learnt {
+        Learnt {
+            seen: seen.clone(),
+            kinds: self.kinds.clone(),
+            workers: self.workers.values().cloned().collect(),
+        }
+    }
+
+    /// Takes up what another process of this dispatcher has learnt of the workers that are listed here, but
+    /// not what it holds there. Gives back what it has seen.
+    pub fn take_up(&mut self, learnt: Learnt) -> Seen {
+        for (own, kind) in self.kinds.iter_mut().zip(learnt.kinds) {
+            *own = Kind { ready: own.ready, ..kind };
+        }
+        for w in learnt.workers {
+            let Some(own) = self.workers.get_mut(&w.info.id) else { continue };
+            if own.info.since == w.info.since {
+                let slots = Pool { mine: own.slots.mine, ..w.slots };
+                let memory = Pool { mine: own.memory.mine, ..w.memory };
+                let (info, cold_sends) = (own.info.clone(), std::mem::take(&mut own.cold_sends));
+                *own = Worker { info, slots, memory, waiting: own.waiting, cold_sends, ..w };
+            }
+        }
+        let suspects = self.ring.iter().filter(|id| self.workers[id].suspect.is_some());
+        self.suspects = suspects.copied().collect();
+        learnt.seen
+    }
+
     /// A worker has proved itself: it is a suspect no longer, and its work comes back step by step.
     pub fn clear(&mut self, id: WorkerId) {
         let Some(w) = self.workers.get_mut(&id) else { return };
