Make room by stalled messages first, never by one that gets on; parse heads once for each line

Seen: in a crowd beyond the budget, messages that stopped half way kept their places for 2.4 s while idle clients and connections of call-backs were closed for newcomers; an honest slow message could be closed as the last resort. Lines at fault: Worth::Busy in net/spare.rs; Connection::head and trailer in net/http.rs; Watch::follow.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -190,7 +190,7 @@
 
     /// Whether no client's message is arriving or waits for its answer.
     pub fn is_empty(&self) -> bool {
-        self.waiting() == 0 && self.spares.count(Worth::Busy) == 0
+        self.waiting() == 0 && self.spares.count_arriving() == 0
     }
 
     /// Messages whose answer has not been written.
@@ -225,7 +225,7 @@
                     if self.counters.accept_failures.add().is_power_of_two() {
                         eprintln!("chutesaddle: cannot accept a connection: {error}");
                     }
-                    self.spares.close_one(Worth::Busy);
+                    self.spares.make_room();
                     sleep(RETRY).await;
                 }
             }
@@ -248,7 +248,7 @@
             // Those that were accepted last are listed once they have had their turn; without them, useful
             // ones would go in their place.
             yield_now().await;
-            if self.spares.close_one(Worth::Busy) {
+            if self.spares.make_room() {
                 self.counters.connections_shed.add();
             }
             // One that was asked to close may have been sent a message that instant, and stay.
@@ -395,7 +395,7 @@
         connection: &mut Connection,
         due: Instant,
     ) -> Option<Result<(Head, Bytes), HttpError>> {
-        let spare = self.spares.list(Worth::Busy);
+        let spare = self.spares.arriving(connection.heard());
         tokio::select! {
             biased;
             message = timeout_at(due, message(connection)) => {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -182,9 +182,12 @@
             let chunk = timeout(SILENCE, connection.chunk(LINE_BYTES)).await;
             let chunk = chunk.map_err(|_| WatchError::Silent)??.ok_or(WatchError::Ended)?;
             *heard = true;
+            let mut searched = rest.len(); // a long line in many small chunks is searched once
             rest.extend_from_slice(&chunk);
-            while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
+            while let Some(end) = rest[searched..].iter().position(|&byte| byte == b'\n') {
+                let end = searched + end;
                 self.line(&mut rest.split_to(end + 1)[..end]);
+                searched = 0;
             }
             if rest.len() > LINE_BYTES {
                 return Err(WatchError::LongLine);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,13 +1,16 @@
 //! HTTP/1.1 on one connection: heads parsed in place, bounded bodies, gathered writes. It knows neither
 //! transactions nor members.
 
+use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
+use std::rc::Rc;
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// The longest head, and the most headers in one.
 const HEAD_BYTES: usize = 16 * 1024;
@@ -160,13 +163,17 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// When something was last read.
+    heard: Rc<Cell<Instant>>,
+    /// How often a head was parsed.
+    parses: u32,
 }
 
 impl Connection {
     /// A connection that is up. Answers are small and waited for, so nothing is held back to fill packets.
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true); // a slower connection is still a good one
-        Connection { stream, buffer: BytesMut::new() }
+        Connection { stream, buffer: BytesMut::new(), heard: Rc::new(Cell::new(Instant::now())), parses: 0 }
     }
 
     /// Connects; the caller bounds the wait.
@@ -207,13 +214,25 @@
         !self.buffer.is_empty()
     }
 
+    /// When something was last read, also as that goes on.
+    pub fn heard(&self) -> Rc<Cell<Instant>> {
+        Rc::clone(&self.heard)
+    }
+
+    /// How often a head was parsed here: the pieces in which it comes must not tell.
+    pub fn parses(&self) -> u32 {
+        self.parses
+    }
+
     /// Reads more; 0 at the other side's end.
     ///
     /// # Errors
     /// As the system reports them.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        self.heard.set(Instant::now());
+        read
     }
 
     /// Ends when the other side has closed or the connection has broken. What it sends meanwhile is kept
@@ -276,8 +295,13 @@
         &mut self,
         parse: impl Fn(&[u8]) -> Result<Option<Parsed>, HttpError>,
     ) -> Result<Head, HttpError> {
+        let mut parsed = 0;
         loop {
-            if !self.buffer.is_empty() {
+            // Only a line that has ended tells anything new: a head that comes byte by byte is not parsed
+            // as often as it has bytes.
+            if parsed == 0 && !self.buffer.is_empty() || self.buffer[parsed..].contains(&b'\n') {
+                parsed = self.buffer.len();
+                self.parses += 1;
                 if let Some(parsed) = parse(&self.buffer)? {
                     return parsed.cut(&mut self.buffer);
                 }
@@ -350,15 +374,18 @@
 
     /// Passes over the trailer of a chunked body.
     async fn trailer(&mut self) -> Result<(), HttpError> {
+        let mut searched = 0;
         loop {
-            if let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
-                let line = self.buffer.split_to(end + 1);
+            if let Some(end) = self.buffer[searched..].iter().position(|&b| b == b'\n') {
+                let line = self.buffer.split_to(searched + end + 1);
+                searched = 0;
                 if line.as_ref() == b"\r\n" {
                     return Ok(());
                 }
             } else if self.buffer.len() >= HEAD_BYTES {
                 return Err(HttpError::HeadTooLong);
             } else {
+                searched = self.buffer.len();
                 self.more().await?;
             }
         }
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -1,7 +1,7 @@
 //! The HTTP connection by itself: what a whole program cannot be made to show at will.
 
 use chutesaddle::net::http::Connection;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 /// A gathered write that the system takes in pieces must go on where it stopped, across the parts.
@@ -41,3 +41,28 @@
         tokio::task::yield_now().await;
     }
 }
+
+/// A head and a chunked body that come byte by byte: a parse for each byte would cost the square of them.
+#[tokio::test]
+async fn pieces_of_any_size_cost_no_more_than_their_bytes() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut near = Connection::connect(listener.local_addr().unwrap()).await.unwrap();
+    let mut far = listener.accept().await.unwrap().0;
+    far.set_nodelay(true).unwrap();
+    let head =
+        format!("POST /a HTTP/1.1\r\nX-Long: {}\r\nTransfer-Encoding: chunked\r\n\r\n", "x".repeat(15_000));
+    let message = format!("{head}5\r\nmap o\r\n1\r\nf\r\n0\r\nX-Trailer: {}\r\n\r\n", "y".repeat(200));
+    let write = async {
+        for byte in message.as_bytes() {
+            far.write_all(&[*byte]).await.unwrap();
+            tokio::task::yield_now().await;
+        }
+    };
+    let read = async {
+        let head = near.request_head().await.unwrap();
+        (near.body(&head).await.unwrap(), near.parses())
+    };
+    let ((), (body, parses)) = tokio::join!(write, read);
+    assert_eq!(body.as_ref(), b"map of");
+    assert!(parses < 10, "{parses} parses");
+}
--- a/tests/net/clients.rs
+++ b/tests/net/clients.rs
@@ -240,3 +240,26 @@
         c0 expect drawn";
     play(&World { sockets: 20, ..PLAIN }, &scenario);
 }
+
+/// A message that gets on is never closed to make room, nor is a connection for call-backs, as long as there
+/// are some that have stalled half way or may yet do so.
+#[test]
+fn messages_that_stall_make_room_before_call_backs_and_messages_that_get_on() {
+    let mut scenario = String::from("c0 send job r0\nm1 expect r0\nm1 send 202\n");
+    scenario += "c99 send call r0 m1 done\nc99 expect 200\nc0 expect drawn\n";
+    for n in 1..=30 {
+        scenario += &format!("c{n} send raw POST /dr\n");
+    }
+    scenario += "s wait connections_shed 12
+        c50 send raw POST /draw-map/a HTTP/1.1\\r\\nX-Request-Id: r2\\r\\n
+        s wait connections_shed 14
+        c50 send raw X-Tenant: acme\\r\\n
+        s wait connections_shed 16
+        c50 send raw Content-Length: 0\\r\\n\\r\\n
+        m1 expect r2
+        m1 send 202
+        c99 send call r2 m1 done
+        c99 expect 200
+        c50 expect drawn";
+    play(&World { sockets: 20, ..PLAIN }, &scenario);
+}
