--- a/src/rules.rs
+++ b/src/rules.rs
@@ -339,7 +339,7 @@
     fn attempt_ended(&mut self, e: Ended, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.all.get_mut(&e.request) else { return };
         let Some(a) = job.attempts.get_mut(e.attempt).filter(|a| a.out) else { return };
-        a.out = false;
+        (a.out, a.failed) = (false, e.outcome == Outcome::Error);
         a.may_have_run = !matches!(e.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         let (worker, work, start, timely) = (a.worker, job.work, a.start, !a.given_up);
         let in_time = f64::from(u8::from(self.now <= job.since + job.aim));
@@ -547,11 +547,13 @@
     fn choose(&self, job: &Job, urgent: bool, mostly_urgent: bool) -> Option<WorkerId> {
         let class = &self.s.classes[job.req.class];
         let slack = (job.since + job.aim - self.now).max(self.round);
+        let others = class.kind.is_none() && self.offers.len() > job.attempts.len(); // it failed once there
         let mut best: Option<(f64, WorkerId)> = None;
         for &id in &self.offers {
             let w = &self.farm.workers[&id];
             let trial = w.proven < 1.0 && class.effect != Effect::Repeatable; // no unsafe work on trial
-            if trial || self.now < w.full_until || w.suspect.is_some() || !self.may_route(job, w) {
+            let failed = others && job.attempts.iter().any(|a| a.worker == id && a.failed);
+            if failed || trial || self.now < w.full_until || w.suspect.is_some() || !self.may_route(job, w) {
                 continue;
             }
             let free = self.free(w);
--- a/src/state.rs
+++ b/src/state.rs
@@ -343,6 +343,8 @@
     pub share: f64,
     pub out: bool,
     pub may_have_run: bool,
+    /// The worker answered with an error.
+    pub failed: bool,
     /// Cancelled, or a second copy was asked for.
     pub given_up: bool,
 }
@@ -358,6 +360,7 @@
             share: -1.0,
             out: true,
             may_have_run: true,
+            failed: false,
             given_up: false,
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -360,3 +360,29 @@
     let sent = routes(&b.run(0.2));
     assert_eq!((sent.len(), sent[0].0), (1, 2), "the good request is unharmed");
 }
+
+/// A worker that fails fast is always free: without memory, a job could spend all its attempts there.
+#[test]
+fn a_job_goes_elsewhere_after_it_failed_at_a_worker() {
+    let mut b = Bench::new(Settings { probes: false, ..settings() }, fleet(3));
+    b.send(Event::Request(request(1, 0, 100.0)));
+    let mut tried = vec![routes(&b.run(0.1))[0].1];
+    for attempt in 0..2 {
+        let mut actions = b.end(1, attempt, Outcome::Error);
+        actions.extend(b.run(0.2));
+        tried.push(routes(&actions)[0].1);
+    }
+    tried.sort();
+    assert_eq!(tried, [1, 2, 3]);
+}
+
+/// Where there is no other, it may go there again.
+#[test]
+fn a_job_goes_back_where_there_is_no_other_worker() {
+    let mut b = Bench::new(Settings { probes: false, ..settings() }, fleet(1));
+    b.send(Event::Request(request(1, 0, 100.0)));
+    b.run(0.1);
+    let mut actions = b.end(1, 0, Outcome::Error);
+    actions.extend(b.run(0.2));
+    assert_eq!(routes(&actions), [(1, 1)]);
+}
