--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -206,6 +206,9 @@
             Message::Moved(id, moved, reply) => self.take_over(id, *moved, reply),
             Message::Succeeded(moves) => {
                 self.moves = moves;
+                if !moves {
+                    self.moved.clear(); // what was there has gone with that process
+                }
                 self.move_out();
             }
             Message::Joined(peer, side) => self.joined(peer, side),
