--- a/src/api.rs
+++ b/src/api.rs
@@ -129,6 +129,8 @@
     pub max_hold_off_s: f64,
     /// The worker list must be asked for.
     pub ask_for_list: bool,
+    /// The list's weights are sizes divided by 1 + requests held per core, as they were some time earlier.
+    pub live_weights: bool,
     /// Without a subscription, the longest gap between calls for the list.
     pub ask_within_s: f64,
     /// A worker starts at this share of its capacity or more ...
@@ -176,6 +178,7 @@
             probes: false,
             max_hold_off_s: 0.0,
             ask_for_list: false,
+            live_weights: false,
             ask_within_s: 10.0,
             cold_share: 0.1,
             warm_within_s: 30.0,
@@ -231,6 +234,9 @@
     pub kind: usize,
     /// Clock time of its last start; 0 for long ago.
     pub since: f64,
+    /// Its size as listed, in the list's own unit; 0 where that is not told. Where [`Settings::live_weights`]
+    /// says so, lowered by what it holds.
+    pub weight: f64,
 }
 
 /// How an attempt or a probe ended.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -129,6 +129,7 @@
         if line.trim_ascii().is_empty() {
             return;
         }
+        tracing::trace!(line = %line.escape_ascii(), "pool told");
         let tape = simd_json::to_tape(line);
         let Some(update) = tape.ok().and_then(|tape| PoolUpdate::read(&tape.as_value())) else {
             return self.malformed("a line that is no list");
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -279,6 +279,7 @@
         self.counters.transactions_taken.add();
         self.names.insert(payload.name.clone(), id);
         self.peers.pass(None, &Frame::Opened(payload.name.clone()));
+        tracing::debug!(name = %payload.name.escape_ascii(), class, tenant, hint, slots, "taken");
         let live = Live {
             class,
             hint,
@@ -350,7 +351,10 @@
             last(true).or(last(false)).map(|attempt| (id, attempt, attempts[attempt].open))
         });
         match (found, call_back.news) {
-            (Some((request, attempt, true)), News::Started) => self.tell(Event::Started { request, attempt }),
+            (Some((request, attempt, true)), News::Started) => {
+                tracing::debug!(name = %call_back.name.escape_ascii(), attempt, "started");
+                self.tell(Event::Started { request, attempt });
+            }
             (Some((request, attempt, true)), News::Progress(share)) => {
                 self.tell(Event::Progress { request, attempt, share });
             }
@@ -404,6 +408,8 @@
         a.open = false;
         a.order(Order::Settle);
         let outcome = end.outcome();
+        let free = load.free_slots.unwrap_or(-1.0);
+        tracing::debug!(name = %live.payload.name.escape_ascii(), attempt, end = end.name(), free, "flow ended");
         live.may_have_run |= !outcome.proves_unrun();
         self.counters.ended(end);
         self.tell(Event::Ended(Ended { request, attempt, outcome, closed, load }));
@@ -425,6 +431,7 @@
         };
         all.add();
         of_class.add();
+        tracing::debug!(name = %live.payload.name.escape_ascii(), answer = reply.name(), "answered");
         let _ = sender.send(reply); // the client may have left this instant
         true
     }
@@ -513,6 +520,7 @@
         let (order_sender, told) = (Some(sender), Rc::clone(&taken));
         live.attempts.push(Attempt { worker, open: true, taken, withdrawn: false, order: order_sender });
         self.counters.flows.add();
+        tracing::debug!(name = %live.payload.name.escape_ascii(), attempt, member = member.name, "flow");
         if let Some(crossings) = &mut self.crossings {
             crossings.runs_here(&self.settings.classes[live.class], &live.payload);
         }
--- a/src/net/engine/pool.rs
+++ b/src/net/engine/pool.rs
@@ -52,6 +52,7 @@
                 cell: line.cell,
                 kind,
                 since: line.started_s,
+                weight: line.weight,
             });
         }
         self.counters.pool_size.set(self.members.len());
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -33,6 +33,8 @@
     pub state: MemberState,
     /// Unix time of its last start in seconds; 0 for long ago.
     pub started_s: f64,
+    /// What the pool makes of its size; 0 where it does not say.
+    pub weight: f64,
 }
 
 /// One message of discovery: the whole pool or the members that changed.
@@ -75,6 +77,7 @@
     let text = |key| entry.get_str(key).unwrap_or_default().to_owned();
     let cell = entry.get("cell").and_then(|cell| cell.as_u16()).unwrap_or_default();
     let started_ms = entry.get("started_ms").and_then(|ms| ms.cast_f64()).unwrap_or_default();
+    let weight = entry.get("weight").and_then(|weight| weight.cast_f64()).unwrap_or_default();
     let name = entry.get_str("id")?.to_owned();
     Some(MemberLine {
         name,
@@ -84,5 +87,6 @@
         cell,
         state,
         started_s: started_ms / 1000.0,
+        weight,
     })
 }
--- a/src/net/words.rs
+++ b/src/net/words.rs
@@ -68,6 +68,20 @@
     Moved(Box<Moved>),
 }
 
+impl Reply {
+    /// Its name in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Reply::Served(_) => "served",
+            Reply::Rejected { .. } => "rejected",
+            Reply::Returned => "returned",
+            Reply::Failed => "failed",
+            Reply::Duplicate => "duplicate",
+            Reply::Moved(_) => "moved",
+        }
+    }
+}
+
 /// What a member tells of a job.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum News {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,6 +23,7 @@
 const QUOTA_BURST: f64 = 2.0; // seconds of a quota that may come at once
 const OVERCOMMIT: f64 = 2.0; // attempts out for each slot of this dispatcher's part: one runs, one may wait
 const FEW: usize = 4; // so many dispatchers see enough by themselves: all workers are candidates
+const LEAST_LOOKS: usize = 2; // workers that a job is held against at the least: the power of two choices
 const ASK: usize = 2; // workers asked at a time whether they have a slot free
 const ASK_AGAIN: f64 = 0.025; // a held job asks others after this, then after ever longer
 const OFFER: f64 = 0.05; // a slot said to be free is taken for free this long
@@ -163,7 +164,9 @@
 
     fn list(&mut self, whole: bool, cached: bool, entries: Vec<WorkerInfo>, out: &mut Vec<Action>) {
         let kind = || Kind { slots: SLOTS_AT_FIRST, ..Kind::default() };
+        let listed: Vec<_> = entries.iter().map(|entry| entry.id).collect();
         self.farm.update(whole, entries, kind, |id| spread(self.seed, id));
+        (self.s.live_weights && !cached).then(|| self.farm.weigh(&listed, self.now));
         self.offers = if self.sees() { self.farm.ring.clone() } else { Vec::new() };
         self.list_failures *= u32::from(cached);
         out.extend((cached && self.s.ask_for_list).then_some(Action::Subscribe));
@@ -394,7 +397,7 @@
             let broke = e.outcome == Outcome::ConnectFailed || e.outcome == Outcome::Reset && w.broke > 1;
             (broke || w.stability < 0.3).then(|| self.doubt(worker, broke));
         }
-        self.report(worker, e.load, 0.5);
+        self.report(worker, e.load, OLD_NEWS);
         if e.outcome == Outcome::Ok {
             // A cold worker's run teaches nothing: it would make the budget of all cold ones too large.
             let warm = self.farm.workers.get(&worker).is_some_and(|w| self.warmth(w, 0.0) >= 1.0);
@@ -549,7 +552,8 @@
         let mut room = f64::INFINITY;
         if self.sees() {
             let (slots, mine) = self.farm.trusted();
-            room = OVERCOMMIT * slots / self.s.dispatchers as f64 - mine;
+            let part = slots / self.s.dispatchers as f64;
+            room = (OVERCOMMIT * part).max(by_chance(part)) - mine;
             order.truncate(room.max(0.0).ceil() as usize + self.farm.ring.len());
         } else {
             self.offers.retain(|id| self.farm.workers.get(id).is_some_and(|w| now - w.offered < OFFER));
@@ -586,7 +590,7 @@
         let class = &self.s.classes[job.req.class];
         let slack = (job.since + job.aim - self.now).max(self.round);
         let others = class.kind.is_none() && self.offers.len() > job.attempts.len(); // it failed once there
-        let mut best: Option<(f64, WorkerId)> = None;
+        let mut fit: Vec<Fit> = Vec::with_capacity(self.offers.len());
         for &id in &self.offers {
             let w = &self.farm.workers[&id];
             let trial = w.proven < 1.0 && class.effect != Effect::Repeatable; // no unsafe work on trial
@@ -614,9 +618,11 @@
                 let slow = self.ratio(w, 2) / self.mean(&self.seen.fleet, 0.0).exp();
                 score = -1.0 - free / self.farm.slots_of(w) / away + 0.1 * slow;
             }
-            best = best.filter(|b| b.0 <= score).or(Some((score, id)));
+            fit.push(Fit { score, id, room: if known_free { free.max(0.5) } else { 0.01 } });
         }
-        best.map(|b| b.1)
+        let looks = (FEW * self.offers.len()).div_ceil(self.s.dispatchers).max(LEAST_LOOKS);
+        let draw = |id| chance(spread(self.seed ^ u64::from(job.req.id.0), id));
+        pick(fit, looks, draw)
     }
 
     fn route(&mut self, id: RequestId, worker: WorkerId, out: &mut Vec<Action>) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -137,6 +137,7 @@
             probes: o.get("allowed.probes", d.probes)?,
             max_hold_off_s: if hold_off { o.number("allowed.max_retry_after_s", 0.0)? } else { 0.0 },
             ask_for_list: o.one_of("membership_mode", &ask, d.ask_for_list)?,
+            live_weights: o.get("weights", String::new())? == "live",
             ask_within_s: o.number("contract.ask_within_s", d.ask_within_s)?,
             cold_share: o.number("contract.cold_share", d.cold_share)?,
             warm_within_s: o.number("contract.warm_within_s", d.warm_within_s)?,
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,11 @@
 
 use crate::api::*;
 
+/// Weights are rounded: a load under this is none.
+const LEAST_STEP: f64 = 0.04;
+/// News of a while back moves what is thought of a worker's load by so much.
+pub(crate) const OLD_NEWS: f64 = 0.5;
+
 /// Complexity classes, as many as in the paper; each spans a factor of two of work.
 pub(crate) const CLASSES: usize = 5;
 
@@ -120,6 +125,10 @@
     pub slots: f64,
     /// How many of it take work.
     pub ready: f64,
+    /// The largest weight listed: what one of it weighs that holds nothing.
+    pub size: f64,
+    /// By how much one held request raises the load of one of it: the part of a core in all its cores.
+    pub step: f64,
 }
 
 /// What is known of a worker.
@@ -285,6 +294,33 @@
         }
     }
 
+    /// Takes up what live weights tell of the load of all workers. An entry left out weighs what it did.
+    pub(crate) fn weigh(&mut self, listed: &[WorkerId], now: f64) {
+        let loads: Vec<_> = listed.iter().filter_map(|id| self.load(*id)).collect();
+        for &(kind, load) in &loads {
+            let kind = &mut self.kinds[kind];
+            if load > LEAST_STEP && (kind.step <= 0.0 || load < kind.step) {
+                kind.step = load;
+                kind.slots = kind.slots.max((1.0 / load).round());
+            }
+        }
+        for id in listed {
+            let Some((kind, load)) = self.load(*id) else { continue };
+            let kind = &self.kinds[kind];
+            let cores = if kind.step > 0.0 { (1.0 / kind.step).round() } else { kind.slots };
+            let Some(w) = self.workers.get_mut(id) else { continue };
+            let held = (load * cores - w.slots.mine).max(0.0);
+            w.slots.others += OLD_NEWS * (held - w.slots.others);
+        }
+        self.workers.values_mut().for_each(|w| w.slots.at = now);
+    }
+
+    /// A worker's kind and what it holds for each core, by its weight.
+    fn load(&self, id: WorkerId) -> Option<(usize, f64)> {
+        let w = self.workers.get(&id).filter(|w| w.info.weight > 0.0)?;
+        Some((w.info.kind, (self.kinds[w.info.kind].size / w.info.weight - 1.0).max(0.0)))
+    }
+
     /// Attempts that another process of this dispatcher has sent are out for this one from now on.
     pub(crate) fn occupy(&mut self, job: &Job) {
         for a in job.attempts.iter().filter(|a| a.out) {
@@ -317,6 +353,7 @@
                 // A new process: what was learnt of the old one's health and load is void.
                 *w = w.restarted();
             }
+            self.kinds[info.kind].size = self.kinds[info.kind].size.max(info.weight);
             w.info = info;
         }
         self.workers.retain(|_, w| w.info.state != WorkerState::Gone || w.slots.mine > 0.0);
@@ -493,7 +530,34 @@
     expected + 2.0 * expected.sqrt().max(1.0)
 }
 
+/// A worker that a job may go to: how good it is (less is better), and how much room it has.
+pub(crate) struct Fit {
+    pub score: f64,
+    pub id: WorkerId,
+    pub room: f64,
+}
+
+/// The best of so many drawn at random by their room. All of them know of the same free slots at the same
+/// time, and the best for one is the best for all.
+pub(crate) fn pick(mut fit: Vec<Fit>, looks: usize, draw: impl Fn(WorkerId) -> f64) -> Option<WorkerId> {
+    if fit.len() > looks {
+        let mut keyed: Vec<_> = fit.into_iter().map(|f| (-draw(f.id).ln() / f.room, f)).collect();
+        keyed.sort_by(|a, b| a.0.total_cmp(&b.0));
+        fit = keyed.into_iter().map(|k| k.1).collect();
+        fit.truncate(looks);
+    }
+    fit.iter().min_by(|a, b| a.score.total_cmp(&b.score)).map(|f| f.id)
+}
+
 /// A number that differs between dispatchers for the same worker.
 pub(crate) fn spread(seed: u64, id: WorkerId) -> u64 {
     (seed ^ id.0).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(32).wrapping_mul(0x9E37_79B9_7F4A_7C15)
 }
+
+/// A number above 0 and up to 1, as good as random, from any other (the finalizer of SplitMix64).
+pub(crate) fn chance(number: u64) -> f64 {
+    let number = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    let number = number ^ (number >> 31);
+    ((number >> 11) + 1) as f64 / (1u64 << 53) as f64
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -147,10 +147,10 @@
     let cell = buf.try_get_u16_le()?;
     let zone = buf.try_get_u16_le()?;
     let since = buf.try_get_f64_le()?;
-    let _size = buf.try_get_f32_le()?;
+    let weight = f64::from(buf.try_get_f32_le()?);
     let kind = usize::from(buf.try_get_u8()?);
     let id = worker_id(buf)?;
-    Ok(WorkerInfo { id, state, zone, cell, kind, since })
+    Ok(WorkerInfo { id, state, zone, cell, kind, since, weight })
 }
 
 fn request(buf: &mut &[u8]) -> Result<Request, RecordError> {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -43,7 +43,7 @@
 
 pub(crate) fn worker(n: u64) -> WorkerInfo {
     let cell = (n % 2) as u16;
-    WorkerInfo { id: WorkerId(n), state: WorkerState::Ready, zone: 0, cell, kind: 0, since: 0.0 }
+    WorkerInfo { id: WorkerId(n), state: WorkerState::Ready, zone: 0, cell, kind: 0, since: 0.0, weight: 0.0 }
 }
 
 pub(crate) fn request(id: u32, class: usize, now: f64) -> Request {
@@ -63,8 +63,12 @@
 
 impl Bench {
     pub(crate) fn new(settings: Settings, workers: Vec<WorkerInfo>) -> Self {
+        Self::seeded(settings, 7, workers)
+    }
+
+    pub(crate) fn seeded(settings: Settings, seed: u64, workers: Vec<WorkerInfo>) -> Self {
         let mut bench = Bench {
-            d: Dispatcher::new(settings, 7),
+            d: Dispatcher::new(settings, seed),
             now: 100.0,
             timers: Vec::new(),
             answer: None,
