--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod net;
 pub mod rules;
 pub mod settings;
+pub mod shares;
 mod state;
 pub mod wire;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,7 @@
 //! All decisions and the estimates behind them. Read `src/api.rs` first, and `docs/design.md` for the why.
 
 use crate::api::*;
+use crate::shares;
 use crate::state::*;
 
 // Constants that no setting or observation supplies. Times in seconds unless said otherwise.
@@ -248,12 +249,19 @@
             return true;
         }
         // Fall-back: this dispatcher's part of what the cold worker can take from the start of such a window.
+        let Some(part) = self.cold_part(w) else { return false };
         let from = self.now - self.s.overload_for_s;
         let sent: f64 = w.cold_sends.iter().filter(|s| s.0 >= from).map(|s| s.1).sum();
         let speed = self.kind_ratio(w.info.kind).exp().max(self.ratio(w, 2));
         let capacity = self.warmth(w, self.s.overload_for_s) * self.farm.slots_of(w).max(1.0) / speed;
-        let budget = self.s.fall_multiple * capacity * self.s.overload_for_s / self.s.dispatchers as f64;
-        sent + COLD_ERROR * job.work <= budget
+        sent + COLD_ERROR * job.work <= self.s.fall_multiple * capacity * self.s.overload_for_s * part
+    }
+
+    /// This dispatcher's part of a cold worker's budget, if it has one now.
+    fn cold_part(&self, w: &Worker) -> Option<f64> {
+        let grown = self.warmth(w, self.s.overload_for_s) / self.warmth(w, f64::INFINITY);
+        let salt = w.info.since.to_bits() ^ u64::from(w.info.cell);
+        shares::part(self.s.index, self.s.dispatchers, grown, salt)
     }
 
     /// Whether `w` may be sent the job though earlier attempts may have run: no effect twice.
@@ -618,7 +626,17 @@
                 let slow = self.ratio(w, 2) / self.mean(&self.seen.fleet, 0.0).exp();
                 score = -1.0 - free / self.farm.slots_of(w) / away + 0.1 * slow;
             }
-            fit.push(Fit { score, id, room: if known_free { free.max(0.5) } else { 0.01 } });
+            fit.push(Fit {
+                score,
+                id,
+                room: if !known_free {
+                    0.01
+                } else if self.warmth(w, 0.0) < 1.0 {
+                    f64::INFINITY
+                } else {
+                    free.max(0.5)
+                },
+            });
         }
         let looks = (FEW * self.offers.len()).div_ceil(self.s.dispatchers).max(LEAST_LOOKS);
         let draw = |id| chance(spread(self.seed ^ u64::from(job.req.id.0), id));
--- /dev/null
+++ b/src/shares.rs
@@ -0,0 +1,80 @@
+//! Whole shares of what is too little to be divided among all, dealt out without talk.
+//!
+//! A budget, such as the work that a cold worker can stand within a window of time, has a part for each of the
+//! dispatchers. With few of them a part is a job or more. With many it is a small fraction of one: nobody could
+//! use it, or, rounded up, all together would overdraw it. So at most as many parts are made as come to jobs,
+//! and they go to the dispatchers that come first in an order which everyone can work out from what all are
+//! told. The parts never come to more than the whole, however the load falls on single dispatchers.
+//!
+//! The budget of a worker that warms up grows. Its parts then grow in number as well as in size: those who
+//! have one keep it, so that no window of time sees two sets of holders.
+
+use crate::state::chance;
+
+/// The parts of a budget when it is least. More make smaller jobs fit only; fewer leave more dispatchers
+/// without one.
+pub const PARTS: usize = 6;
+
+/// The part of a budget that dispatcher `index` of `total` may use, if it has one.
+///
+/// `grown` is how many times its least the budget is by now; `salt` is the same for all dispatchers and
+/// another one for each budget, so that they fall to different ones.
+pub fn part(index: usize, total: usize, grown: f64, salt: u64) -> Option<f64> {
+    let total = total.max(1);
+    let parts = ((PARTS as f64 * grown.max(1.0).sqrt()) as usize).min(total);
+    (rank(index, total, salt) < parts).then_some(1.0 / parts as f64)
+}
+
+/// The place of a dispatcher in an order of all of them, another order for each salt.
+fn rank(index: usize, total: usize, salt: u64) -> usize {
+    let first = (chance(salt) * total as f64) as usize;
+    let mut step = 1 + (chance(!salt) * total as f64) as usize;
+    while common_divisor(step, total) != 1 {
+        step += 1; // at the latest the next multiple of `total`, and one more, has none in common with it
+    }
+    (first + step * (index % total)) % total
+}
+
+fn common_divisor(a: usize, b: usize) -> usize {
+    if b == 0 {
+        a
+    } else {
+        common_divisor(b, a % b)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn few_dispatchers_always_have_their_part() {
+        for total in 1..=PARTS {
+            assert!((0..total).all(|index| part(index, total, 1.0, 5) == Some(1.0 / total as f64)));
+        }
+    }
+
+    #[test]
+    fn parts_come_to_the_whole_and_stay_with_their_holders() {
+        for (total, salt) in (PARTS..300).zip(0..) {
+            let mut holders = Vec::new();
+            for tenths in 10..80 {
+                let parts: Vec<_> =
+                    (0..total).map(|index| part(index, total, f64::from(tenths) / 10.0, salt)).collect();
+                let whole: f64 = parts.iter().flatten().sum();
+                assert!((whole - 1.0).abs() < 1e-9, "{whole} of {total} dispatchers at {tenths}");
+                assert!(holders.iter().all(|&index: &usize| parts[index].is_some()), "one lost its part");
+                holders = (0..total).filter(|&index| parts[index].is_some()).collect();
+            }
+        }
+    }
+
+    #[test]
+    fn several_budgets_fall_to_different_dispatchers() {
+        let with = |salt| (0..100).filter(move |&index| part(index, 100, 1.0, salt).is_some());
+        let mut held = [0; 100];
+        (0..100).flat_map(with).for_each(|index| held[index] += 1);
+        assert!(held.iter().all(|&n| n <= 20), "{held:?}");
+        assert!(held.iter().filter(|&&n| n > 0).count() > 95, "{held:?}");
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -540,6 +540,7 @@
 /// The best of so many drawn at random by their room. All of them know of the same free slots at the same
 /// time, and the best for one is the best for all.
 pub(crate) fn pick(mut fit: Vec<Fit>, looks: usize, draw: impl Fn(WorkerId) -> f64) -> Option<WorkerId> {
+    let looks = looks + fit.iter().filter(|f| f.room.is_infinite()).count();
     if fit.len() > looks {
         let mut keyed: Vec<_> = fit.into_iter().map(|f| (-draw(f.id).ln() / f.room, f)).collect();
         keyed.sort_by(|a, b| a.0.total_cmp(&b.0));
