--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,10 +15,12 @@
 const LAST: f64 = 4.0; // priority that a job over quota or past its aim loses: it comes after all others
 const DEGRADE: f64 = 1.25; // the paper's limit: aims stretched further than this are given up
 const SLOTS_AT_FIRST: f64 = 2.0; // of a kind that has not shown how many jobs it runs at once
-const OVERDUE_START: f64 = 3.0; // a start later than so many usual waits makes a worker suspect
+const OVERDUE_START: f64 = 1.8; // a start later than so many usual waits makes a worker suspect
 const OVERDUE_RUN: f64 = 5.0; // a run longer than so many times its estimate does, too
+const START_PATIENCE: f64 = 0.6; // but not before so many usual runs: that long a job may well wait
 const LEAST_OVERDUE: f64 = 0.4; // nothing is overdue before this: pauses and the network take that long
 const BACKOFF: (f64, f64) = (0.5, 4.0); // first and longest wait between trials of a suspect
+const FAILED: f64 = 0.7; // a failure leaves so much of a worker's stability, where dispatchers are few
 const SAFE: f64 = 0.6; // a bulk job takes a slower worker while it ends within this part of its aim
 const TRUST: f64 = 2.0; // observations that weigh as much as the estimate a mean falls back to
 const QUOTA_BURST: f64 = 2.0; // seconds of a quota that may come at once
@@ -398,7 +400,8 @@
                 Outcome::Full => w.full_until = self.now + OFFER.max(w.slots.total * SWEEP),
                 Outcome::Ok => w.stability += 0.1 * (in_time - w.stability),
                 Outcome::Cancelled | Outcome::Moot | Outcome::Stale => {}
-                _ => w.stability *= 0.7,
+                // What is seldom used is judged on less: one failure stands for those that others meet there.
+                _ => w.stability *= FAILED.powf((self.s.dispatchers as f64 / FEW as f64).max(1.0)),
             }
             // One connection may break on a sound worker; two with nothing heard between do not.
             w.broke += u32::from(e.outcome == Outcome::Reset);
@@ -467,7 +470,8 @@
     }
 
     fn sweep(&mut self, out: &mut Vec<Action>) {
-        let start_limit = (OVERDUE_START * self.usual_wait()).max(LEAST_OVERDUE).max(self.fleet_run());
+        let start_limit = START_PATIENCE * LEAST_OVERDUE.max(self.fleet_run());
+        let start_limit = start_limit.max(OVERDUE_START * self.usual_wait());
         // A late start means a crowd where queues are unseen; where nothing is seen, it is time to move on.
         let unseen = if self.blind() { ANSWER + 2.0 * self.s.tick_s } else { f64::INFINITY };
         let mut late = Vec::new();
@@ -634,7 +638,7 @@
                 } else if self.warmth(w, 0.0) < 1.0 {
                     f64::INFINITY
                 } else {
-                    free.max(0.5)
+                    1.0
                 },
             });
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -116,3 +116,20 @@
     let early = sent.iter().filter(|s| s.1 < 36 && s.0 < 112.0).count();
     assert!(early >= 100, "{early} jobs to cold workers in 12 s");
 }
+
+#[test]
+fn a_worker_that_fails_once_is_left_alone_by_whoever_seldom_uses_it() {
+    // Large fleet, lost zone: seven boxes failed nearly all they were sent, at once, and so looked free. Four
+    // failures made one suspect, which took a hundred schedulers 650 attempts to find out.
+    let kept = |dispatchers| {
+        let s = Settings { dispatchers, ..many() };
+        let mut b = Bench::seeded(s, 5, weighed(&[0.0]));
+        b.send(Event::Request(request(1, 0, b.now)));
+        assert_eq!(routes(&b.run(0.2)), [(1, 0)]);
+        let mut after = routes(&b.end(1, 0, Outcome::Error));
+        after.extend(routes(&b.run(0.2)));
+        !after.is_empty()
+    };
+    assert!(kept(4), "of four, each sees enough of it to judge later");
+    assert!(!kept(100));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -251,9 +251,9 @@
         start(&mut b, *id);
         b.end(*id, 0, Outcome::Ok); // somebody else could take it
     }
-    b.run(0.3);
+    b.run(0.15);
     start(&mut b, sent[0].0);
-    let actions = b.run(0.3);
+    let actions = b.run(0.2);
     let left = Action::Cancel { request: RequestId(other), attempt: 0 };
     assert!(other != sent[0].0 && !actions.contains(&left));
     assert!(b.run(2.0).contains(&left), "silence since then is another matter");
