--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -127,22 +127,28 @@
     assert!(sent <= 3.0 * 0.25 * 2.0 / 2.0, "sent {sent} s of work in less than a second");
 }
 
-#[test]
-fn rule_4_the_budget_is_that_of_the_start_of_the_window() {
-    // Found in incident ib76876: seven dispatchers used their whole budgets, reckoned with the capacity
-    // at the end of a window and too small a margin, and pushed a worker over together.
-    let cold = WorkerInfo { since: 99.1, ..worker(1) };
-    let mut b = Bench::new(settings(), vec![cold]);
+/// How many of these jobs are sent, each given up as soon as it has started: they come one every `gap` seconds.
+fn sent_and_cancelled(b: &mut Bench, ids: std::ops::Range<u32>, gap: f64) -> usize {
     let mut sent = 0;
-    for id in 0..10 {
+    for id in ids {
         b.send(Event::Request(request(id, 0, b.now)));
-        for (id, _) in routes(&b.run(0.035)) {
+        for (id, _) in routes(&b.run(gap)) {
             sent += 1;
             b.send(Event::Started { request: RequestId(id), attempt: 0 });
             b.send(Event::Left(RequestId(id)));
             b.end(id, 0, Outcome::Cancelled);
         }
     }
+    sent
+}
+
+#[test]
+fn rule_4_the_budget_is_that_of_the_start_of_the_window() {
+    // Found in incident ib76876: seven dispatchers used their whole budgets, reckoned with the capacity
+    // at the end of a window and too small a margin, and pushed a worker over together.
+    let cold = WorkerInfo { since: 99.1, ..worker(1) };
+    let mut b = Bench::new(settings(), vec![cold]);
+    let sent = sent_and_cancelled(&mut b, 0..10, 0.035);
     assert!((1..=2).contains(&sent), "{sent} jobs of 0.3 s against 3 x 0.2 x 2 slots x 1 s");
 }
 
@@ -162,17 +168,7 @@
             b.send(Event::Left(RequestId(id)));
         }
         b.send(Event::Workers { whole: true, cached: false, entries: vec![cold(2, b.now)] });
-        let mut sent = 0;
-        for id in 10..50 {
-            b.send(Event::Request(request(id, 0, b.now)));
-            for (id, _) in routes(&b.run(0.02)) {
-                sent += 1;
-                b.send(Event::Started { request: RequestId(id), attempt: 0 });
-                b.send(Event::Left(RequestId(id)));
-                b.end(id, 0, Outcome::Cancelled);
-            }
-        }
-        sent
+        sent_and_cancelled(&mut b, 10..50, 0.02)
     };
     assert!(sent_cold(true) <= sent_cold(false), "{} against {}", sent_cold(true), sent_cold(false));
 }
@@ -399,17 +395,7 @@
         b.run(took);
         b.end(1, 0, Outcome::Ok);
         b.run(4.9 - took);
-        let mut sent = 0;
-        for id in 10..50 {
-            b.send(Event::Request(request(id, 0, b.now)));
-            for (id, _) in routes(&b.run(0.02)) {
-                sent += 1;
-                b.send(Event::Started { request: RequestId(id), attempt: 0 });
-                b.send(Event::Left(RequestId(id)));
-                b.end(id, 0, Outcome::Cancelled);
-            }
-        }
-        sent
+        sent_and_cancelled(&mut b, 10..50, 0.02)
     };
     let (fast, usual, slow) = (sent_after(0.3), sent_after(1.3), sent_after(4.5));
     assert!(fast > usual && usual > slow, "{fast}, {usual}, {slow}");
