--- a/src/rules.rs
+++ b/src/rules.rs
@@ -439,7 +439,7 @@
         self.wake_in(0.0, out); // a slot is free: the next round is due
     }
 
-    /// A run on a worker that warms up tells its speed in the middle of it, against the least it can have had.
+    /// A run on a worker that warms up tells its speed in the middle of it, against the least it can have.
     fn warmed(&mut self, id: WorkerId, took_s: f64, value: f64) {
         let Some(w) = self.farm.workers.get(&id) else { return };
         let ahead = self.kind_ratio(w.info.kind) - value - self.warmth(w, took_s / 2.0).ln();
