Test restarts at once, a silent worker over the fleet, spoilt lists and a move under SIGTERM

Change: two tests of the module with 100 and 300 dispatchers, four scenarios on sockets. The silent worker: 66 attempts of 100 dispatchers went to it in 10 s; with the line that makes it suspect taken out 254, and the test fails.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -193,6 +193,55 @@
     assert!(early >= 100, "{early} jobs to cold workers in 12 s");
 }
 
+#[test]
+fn schedulers_that_all_restart_at_once_do_not_meet_at_one_worker() {
+    // Standing test, release: seven in ten schedulers are killed at once and come back with the list of their
+    // configuration, which tells of no load. Their first jobs come together.
+    let mut counts = [0; 60];
+    for seed in 0..200u64 {
+        let s = Settings { dispatchers: 300, index: seed as usize, ..many() };
+        let mut b = Bench::seeded(s, seed.wrapping_mul(0x1234_5678_9ABC_DEF1), weighed(&[0.0; 60]));
+        b.send(Event::Request(request(1, 0, b.now)));
+        routes(&b.run(0.2)).iter().for_each(|r| counts[r.1 as usize] += 1);
+    }
+    assert_eq!(counts.iter().sum::<usize>(), 200, "each places its job: {counts:?}");
+    assert!(counts.iter().all(|&n| n <= 12), "some 3 each, drawn by chance: {counts:?}");
+}
+
+#[test]
+fn a_silent_worker_costs_the_fleet_little_and_is_found_again() {
+    // A box that falls silent holds nothing by the list, so it looks free to all: 100 schedulers send a job a
+    // second each for 10 s, then it speaks again.
+    let (mut lost, mut sent, mut back) = (0, 0, 0);
+    for index in 0..100 {
+        let s = Settings { index, ..many() };
+        let mut b = Bench::seeded(s, 31 * index as u64, weighed(&[0.0; 6]));
+        for second in 0..40 {
+            b.send(Event::Workers { whole: false, cached: false, entries: weighed(&[0.0; 6]) });
+            b.send(Event::Request(request(second, 0, b.now)));
+            let mut attempt = 0;
+            for _ in 0..20 {
+                let actions = b.run(0.05);
+                for (id, worker) in routes(&actions) {
+                    let silent = worker == 3 && second < 10;
+                    (lost, sent) = (lost + usize::from(silent), sent + 1);
+                    back += usize::from(worker == 3 && second >= 20);
+                    if !silent {
+                        b.send(Event::Started { request: RequestId(id), attempt });
+                        b.end(id, attempt, Outcome::Ok);
+                    }
+                }
+                if actions.iter().any(|a| matches!(a, Action::Cancel { .. })) {
+                    b.end(second, attempt, Outcome::Cancelled);
+                    attempt += 1;
+                }
+            }
+        }
+    }
+    assert!((1..=100).contains(&lost), "{lost} of {sent} attempts; 254 were it never suspect");
+    assert!(back >= 40, "{back} jobs there in the last 20 s");
+}
+
 #[test]
 fn a_worker_that_fails_once_is_left_alone_by_whoever_seldom_uses_it() {
     // Large fleet, lost zone: seven boxes failed nearly all they were sent, at once, and so looked free. Four
--- a/tests/net/discovery.rs
+++ b/tests/net/discovery.rs
@@ -56,6 +56,27 @@
     );
 }
 
+/// A member that an older change names would come back; one that a torn line names would go.
+#[rstest]
+#[case::older(
+    "d send line {{\"version\":40,\"full\":false,\"servers\":[{{\"id\":\"m1\",\"state\":\"left\"}}]}}"
+)]
+#[case::torn("d send line {{\"version\":42,\"full\":false,\"servers\":[{{\"id\":\"m1\",\"state\":\"left\"\ns expect log sent a line that is no list")]
+#[case::spoilt("d send line {{\"version\":42,\"full\":false,\"servers\":[{{\"id\":7,\"state\":\"left\"}}]}}\ns expect log entries that make no sense")]
+fn a_list_that_is_old_or_spoilt_changes_nothing(#[case] list: &str) {
+    let scenario = format!(
+        "d expect new since=41
+        d send 200 Transfer-Encoding: chunked
+        {list}
+        d send some m2:leaving
+        c1 send job r1
+        m1 expect r1
+        c2 send call r1 m1 done
+        c1 expect drawn"
+    );
+    play(&PLAIN, &scenario.replace("{{", "{").replace("}}", "}"));
+}
+
 /// Until discovery speaks, the scheduler serves with the pool that it was started with.
 #[test]
 fn it_serves_while_discovery_is_silent() {
--- a/tests/net/lifecycle.rs
+++ b/tests/net/lifecycle.rs
@@ -55,6 +55,22 @@
     c1 expect 200 & Connection: close & drawn
     s expect exit 0"
 )]
+#[case::a_discovery_that_moves_meanwhile_is_followed(
+    "d expect new since=41
+    d send 200 Transfer-Encoding: chunked
+    c1 send job r1
+    m1 expect r1
+    m1 send 202
+    s send TERM
+    s expect log stopping
+    s send config {d} => {d2}
+    s send HUP
+    d2 expect new since=0
+    d expect eof
+    c2 send call r1 m1 done
+    c1 expect 200 & drawn
+    s expect exit 0"
+)]
 fn it_stops_in_order(#[case] scenario: &str) {
     play(&PLAIN, scenario);
 }
