--- a/src/rules.rs
+++ b/src/rules.rs
@@ -596,7 +596,7 @@
         hopeless.into_iter().for_each(|id| self.end(id, out));
         let mostly_urgent = 2 * order.iter().filter(|r| r.urgent).count() > order.len();
         let mut room = f64::INFINITY;
-        let level = self.level();
+        let level = if self.s.live_weights { self.level() } else { f64::INFINITY };
         if self.sees() {
             let (slots, mine) = self.farm.trusted();
             let part = slots / self.s.dispatchers as f64;
