--- /dev/null
+++ b/src/estimates.rs
@@ -0,0 +1,125 @@
+//! What is reckoned from the records of `src/state.rs`: run times, loads, how warm a worker is, how full the
+//! fleet. Nothing is decided here; `src/rules.rs` decides by it.
+
+use crate::api::*;
+use crate::level;
+use crate::rules::Dispatcher;
+use crate::state::*;
+
+// Times in seconds unless said otherwise.
+pub(crate) const RECENT: f64 = 15.0; // class times fade with this time constant: a few tens of jobs
+pub(crate) const KIND_RECENT: f64 = 60.0; // those of a kind and of the fleet fade slower: they carry the fallback
+pub(crate) const SOON: f64 = 4.0; // how busy workers are fades sooner: bursts last seconds
+pub(crate) const TRUST: f64 = 2.0; // observations that weigh as much as the estimate a mean falls back to
+const LIST_AGE: f64 = 0.8; // live weights are renewed every 0.5 to 1.2 s, and late: so old when they come
+const FULL_LOAD: f64 = 0.55; // so many of the workers asked without a free slot: late work only takes places
+
+impl Dispatcher {
+    /// How it stands here, for whoever may carry work elsewhere.
+    pub fn standing(&self) -> Standing {
+        let ring = self.farm.ring.iter().map(|id| &self.farm.workers[id]);
+        let fit = ring.filter(|w| w.suspect.is_none() && self.now >= w.full_until);
+        let each = fit.map(|w| (self.farm.slots_of(w) * self.warmth(w, 0.0), self.free(w)));
+        let add =
+            |sum: (f64, f64), (slots, free): (f64, f64)| (sum.0 + slots, sum.1 + free.clamp(0.0, slots));
+        let (slots, free) = each.fold((0.0, 0.0), add);
+        let held = self.jobs.held.iter().filter_map(|id| self.jobs.all.get(id));
+        let work: f64 = held.filter(|job| job.held).map(|job| job.work).sum();
+        let clear_s = work * self.usual_ratio() / slots.max(1.0);
+        Standing { slots, free, waiting: self.jobs.held.len(), clear_s }
+    }
+
+    /// Requests that wait and were sent nowhere yet, with the time by which each must start to be in time.
+    pub fn waiting(&self) -> impl Iterator<Item = (RequestId, f64)> + '_ {
+        let jobs = self.jobs.held.iter().filter_map(|id| self.jobs.all.get(id));
+        let jobs = jobs.filter(|job| job.held && !job.ended && job.attempts.is_empty());
+        jobs.map(|job| (job.req.id, job.since + job.aim - job.work * self.usual_ratio()))
+    }
+
+    /// When a request of this class must start to be in time, on a worker like most.
+    pub fn latest_start(&self, class: usize, hint: Option<f64>, deadline: f64) -> f64 {
+        let (longest, class) = (self.seen.longest_left[class], &self.s.classes[class]);
+        let work = hint.unwrap_or(class.aim_s);
+        let aim = (class.aim_s + class.stretch * work).min(class.deadline_s);
+        (deadline - longest).min(self.now) + aim - work * self.usual_ratio()
+    }
+
+    pub(crate) fn usual_work(&self) -> f64 {
+        self.mean(&self.seen.mean_work, 0.0).exp()
+    }
+
+    pub(crate) fn usual_ratio(&self) -> f64 {
+        self.mean(&self.seen.fleet, 0.0).exp()
+    }
+
+    /// Share of its capacity that a worker has at the least, `back_s` ago.
+    pub(crate) fn warmth(&self, w: &Worker, back_s: f64) -> f64 {
+        let age =
+            if w.info.since > 0.0 { (self.now - back_s - w.info.since).max(0.0) } else { f64::INFINITY };
+        let share = self.s.cold_share.clamp(0.01, 1.0);
+        (share + (1.0 - share) * age / self.s.warm_within_s.max(1e-3)).min(1.0)
+    }
+
+    pub(crate) fn mean(&self, mean: &Mean, fallback: f64) -> f64 {
+        mean.or(self.now, KIND_RECENT, TRUST, fallback)
+    }
+
+    pub(crate) fn complexity(&self, work: f64) -> usize {
+        let steps = (work.ln() - self.mean(&self.seen.mean_work, work.ln())) / std::f64::consts::LN_2;
+        (steps.round() + 2.0).clamp(0.0, (CLASSES - 1) as f64) as usize
+    }
+
+    pub(crate) fn kind_ratio(&self, kind: usize) -> f64 {
+        self.mean(&self.farm.kinds[kind].speed, self.mean(&self.seen.fleet, 0.0))
+    }
+
+    /// Run time / hinted work in a complexity class, leaning on the worker's mean, its kind, the fleet.
+    pub(crate) fn ratio(&self, w: &Worker, cell: usize) -> f64 {
+        let overall = w.overall.or(self.now, RECENT, TRUST, self.kind_ratio(w.info.kind));
+        w.cells[cell].or(self.now, RECENT, TRUST, overall).exp()
+    }
+
+    pub(crate) fn run_time(&self, w: &Worker, work: f64) -> f64 {
+        work * self.ratio(w, self.complexity(work)) / self.warmth(w, 0.0)
+    }
+
+    pub(crate) fn fleet_run(&self) -> f64 {
+        (self.mean(&self.seen.mean_work, 0.0) + self.mean(&self.seen.fleet, 0.0)).exp().clamp(0.05, 60.0)
+    }
+
+    pub(crate) fn usual_wait(&self) -> f64 {
+        self.mean(&self.seen.start_wait, self.round)
+    }
+
+    /// Slots that the other dispatchers are thought to hold: what was last learnt, fading to the usual.
+    pub(crate) fn others(&self, w: &Worker) -> f64 {
+        let alone = if self.s.dispatchers > 1 { 1.0 } else { 0.0 };
+        let usual = alone * self.seen.busy.or(self.now, SOON, TRUST, 0.5) * self.farm.slots_of(w);
+        usual + (w.slots.others - usual) * (-(self.now - w.slots.at).max(0.0) / self.fleet_run()).exp()
+    }
+
+    /// Slots thought free for this dispatcher; a worker just back from trouble is opened step by step.
+    pub(crate) fn free(&self, w: &Worker) -> f64 {
+        (self.farm.slots_of(w) - self.others(w) - w.slots.mine).min(1.0 + w.proven - w.slots.mine)
+    }
+
+    /// How full warm workers will be by the next news of them, if all dispatchers fill them evenly.
+    pub(crate) fn level(&self) -> f64 {
+        let warm = |w: &&Worker| w.suspect.is_none() && self.warmth(w, 0.0) >= 1.0;
+        let warm = self.farm.ring.iter().map(|id| &self.farm.workers[id]).filter(warm);
+        let loads = warm.map(|w| (w.slots.mine + w.slots.others, self.farm.slots_of(w))).collect();
+        level::fill(loads, (self.now - self.farm.told + LIST_AGE) / self.fleet_run())
+    }
+
+    /// What a job counts for at a cold worker: no less than others of its class, whatever its hint says.
+    pub(crate) fn cold_work(&self, job: &Job) -> f64 {
+        let class = &self.s.classes[job.req.class];
+        let usual = self.seen.work[job.req.class].or(self.now, KIND_RECENT, 1.0, class.aim_s);
+        job.work.max(usual)
+    }
+
+    /// Full load where no dispatcher sees it in its own queue: hardly any worker has a slot free.
+    pub(crate) fn full_load(&self) -> bool {
+        !self.sees() && self.seen.busy.or(self.now, SOON, TRUST, 0.5) > FULL_LOAD
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,10 @@
 #![doc = include_str!("../README.md")]
 
 pub mod api;
+mod cold;
 pub mod config;
 pub mod counters;
+mod estimates;
 mod level;
 pub mod net;
 pub mod rules;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,16 +1,12 @@
 //! All decisions and the estimates behind them. Read `src/api.rs` first, and `docs/design.md` for the why.
 
 use crate::api::*;
-use crate::level;
+use crate::estimates::*;
 use crate::shares;
 use crate::state::*;
 
 // Constants that no setting or observation supplies. Times in seconds unless said otherwise.
 const ROUND_PER_AIM: f64 = 0.06; // a round is short against the tightest aim
-const RECENT: f64 = 15.0; // class times fade with this time constant: a few tens of jobs
-const KIND_RECENT: f64 = 60.0; // those of a kind and of the fleet fade slower: they carry the fallback
-const SOON: f64 = 4.0; // how busy workers are fades sooner: bursts last seconds
-const FULL_LOAD: f64 = 0.55; // so many of the workers asked without a free slot: late work only takes places
 const SWEEP: f64 = 0.1; // overdue work is looked for this often
 const EQ1: [f64; 3] = [2.0, 0.3, 2.0]; // alpha (latency aim), beta (tenant's share), delta (worth) of Eq. 1
 const LAST: f64 = 5.0; // priority that a job over quota or past its aim loses: it comes after all others
@@ -23,36 +19,33 @@
 const BACKOFF: (f64, f64) = (0.5, 4.0); // first and longest wait between trials of a suspect
 const FAILED: f64 = 0.7; // a failure leaves so much of a worker's stability, where dispatchers are few
 const SAFE: f64 = 0.6; // a bulk job takes a slower worker while it ends within this part of its aim
-const TRUST: f64 = 2.0; // observations that weigh as much as the estimate a mean falls back to
 const QUOTA_BURST: f64 = 2.0; // seconds of a quota that may come at once
 const OVERCOMMIT: f64 = 2.0; // attempts out for each slot of this dispatcher's part: one runs, one may wait
 const FEW: usize = 4; // so many dispatchers see enough by themselves: all workers are candidates
 const LEAST_LOOKS: usize = 2; // workers that a job is held against at the least: the power of two choices
-const LIST_AGE: f64 = 0.8; // live weights are renewed every 0.5 to 1.2 s, and late: so old when they come
 const ASK: usize = 2; // workers asked at a time whether they have a slot free
 const ASK_AGAIN: f64 = 0.025; // a held job asks others after this, then after ever longer
 const OFFER: f64 = 0.05; // a slot said to be free is taken for free this long
 const ANSWER: f64 = 0.02; // an answer to a question takes no longer, if it did not wait for a slot
 const MOST_AHEAD: f64 = 1.1; // ln: one run makes a cold worker three times as fast, or slow, at the most
-const COLD_ERROR: f64 = 1.6; // a job sent to a cold worker may take this much more than its hint and kind say
 const MOST_SUSPECT: f64 = 0.6; // with more of the fleet suspect, lateness alone is no verdict
 
 /// Decides for one dispatcher. The same settings, seed and events give the same actions.
 #[derive(Default)]
 pub struct Dispatcher {
-    s: Settings,
-    seed: u64,
-    round: f64,
-    now: f64,
-    farm: Farm,
-    turn: usize,           // where in it the next question goes
-    offers: Vec<WorkerId>, // the candidates of a round: those that answered lately, or all
-    jobs: Jobs,
-    seen: Seen,
-    quotas: Vec<Bucket>, // by tenant: this dispatcher's part
-    wake_at: f64,
-    checking: bool,
-    list_failures: u32,
+    pub(crate) s: Settings,
+    pub(crate) seed: u64,
+    pub(crate) round: f64,
+    pub(crate) now: f64,
+    pub(crate) farm: Farm,
+    pub(crate) turn: usize,           // where in it the next question goes
+    pub(crate) offers: Vec<WorkerId>, // the candidates of a round: those that answered lately, or all
+    pub(crate) jobs: Jobs,
+    pub(crate) seen: Seen,
+    pub(crate) quotas: Vec<Bucket>, // by tenant: this dispatcher's part
+    pub(crate) wake_at: f64,
+    pub(crate) checking: bool,
+    pub(crate) list_failures: u32,
 }
 
 impl Dispatcher {
@@ -67,7 +60,7 @@
     pub fn configure(&mut self, s: Settings) {
         self.s = Settings { dispatchers: s.dispatchers.max(1), ..s };
         self.round = (ROUND_PER_AIM * self.s.extremes().0.min(1.0)).max(2.0 * self.s.tick_s).max(1e-3);
-        self.seen.longest_left.resize(self.s.classes.len(), 0.0);
+        self.seen.fit(self.s.classes.len());
         self.share_quotas(1.0 / self.s.dispatchers as f64);
         self.offers = if self.sees() { self.farm.ring.clone() } else { Vec::new() };
     }
@@ -87,39 +80,6 @@
         self.jobs.hand_over(id, &mut self.farm)
     }
 
-    /// How it stands here, for whoever may carry work elsewhere.
-    pub fn standing(&self) -> Standing {
-        let ring = self.farm.ring.iter().map(|id| &self.farm.workers[id]);
-        let fit = ring.filter(|w| w.suspect.is_none() && self.now >= w.full_until);
-        let each = fit.map(|w| (self.farm.slots_of(w) * self.warmth(w, 0.0), self.free(w)));
-        let add =
-            |sum: (f64, f64), (slots, free): (f64, f64)| (sum.0 + slots, sum.1 + free.clamp(0.0, slots));
-        let (slots, free) = each.fold((0.0, 0.0), add);
-        let held = self.jobs.held.iter().filter_map(|id| self.jobs.all.get(id));
-        let work: f64 = held.filter(|job| job.held).map(|job| job.work).sum();
-        let clear_s = work * self.usual_ratio() / slots.max(1.0);
-        Standing { slots, free, waiting: self.jobs.held.len(), clear_s }
-    }
-
-    /// Requests that wait and were sent nowhere yet, with the time by which each must start to be in time.
-    pub fn waiting(&self) -> impl Iterator<Item = (RequestId, f64)> + '_ {
-        let jobs = self.jobs.held.iter().filter_map(|id| self.jobs.all.get(id));
-        let jobs = jobs.filter(|job| job.held && !job.ended && job.attempts.is_empty());
-        jobs.map(|job| (job.req.id, job.since + job.aim - job.work * self.usual_ratio()))
-    }
-
-    /// When a request of this class must start to be in time, on a worker like most.
-    pub fn latest_start(&self, class: usize, hint: Option<f64>, deadline: f64) -> f64 {
-        let (longest, class) = (self.seen.longest_left[class], &self.s.classes[class]);
-        let work = hint.unwrap_or(class.aim_s);
-        let aim = (class.aim_s + class.stretch * work).min(class.deadline_s);
-        (deadline - longest).min(self.now) + aim - work * self.usual_ratio()
-    }
-
-    fn usual_ratio(&self) -> f64 {
-        self.mean(&self.seen.fleet, 0.0).exp()
-    }
-
     /// What a request comes to by Eq. 1; below 0 where it is beyond its tenant's quota.
     pub fn priority(&self, id: RequestId) -> Option<f64> {
         self.jobs.all.get(&id).map(|job| job.priority)
@@ -133,7 +93,10 @@
             Event::ListFailed => self.list_failed(out),
             Event::Request(req) if self.jobs.all.contains_key(&req.id) => {}
             Event::Request(req) => self.accept(req, out),
-            Event::Learnt(learnt) => self.seen = self.farm.take_up(*learnt),
+            Event::Learnt(learnt) => {
+                self.seen = self.farm.take_up(*learnt);
+                self.seen.fit(self.s.classes.len());
+            }
             Event::TakenOver(record) => self.begin(record.0, out),
             Event::Started { request, attempt } => self.news(request, attempt, 0.0, out),
             Event::Progress { request, attempt, share } => self.news(request, attempt, share, out),
@@ -146,7 +109,7 @@
             // The deadline sweep: a request ends here at the latest, whatever else went wrong.
             Event::Timer(tag) if tag >= DEADLINE => self.end(RequestId(tag as u32), out),
             Event::Timer(_) => {}
-            Event::SentElsewhere { worker, work } => self.farm.cold_sent(worker, self.now, COLD_ERROR * work),
+            Event::SentElsewhere { worker, work } => self.cold_sent(worker, work.max(self.usual_work())),
             Event::Probed { worker, outcome, load } => self.probed(worker, outcome, load, out),
         }
     }
@@ -197,6 +160,7 @@
         let work = req.hint.filter(|h| h.is_finite() && *h > 0.0);
         let work = work.unwrap_or_else(|| self.mean(&self.seen.mean_work, class.aim_s.max(1e-3).ln()).exp());
         self.seen.mean_work.add(self.now, KIND_RECENT, work.ln(), 1.0);
+        self.seen.work[req.class].add(self.now, KIND_RECENT, work, 1.0);
         // A client's later tries have less time left than its first: the aim counts from the first.
         let longest = &mut self.seen.longest_left[req.class];
         *longest = longest.max(left.min(class.deadline_s));
@@ -265,13 +229,16 @@
         }
         // Fall-back: this dispatcher's part of what the cold worker can take from the start of such a window.
         let Some(part) = self.cold_part(w) else { return false };
-        let from = self.now - self.s.overload_for_s;
-        let sent: f64 = w.cold_sends.iter().filter(|s| s.0 >= from).map(|s| s.1).sum();
+        let sent = w.cold_sends.since(self.now - self.s.overload_for_s);
         let speed = self.kind_ratio(w.info.kind).exp().max(self.ratio(w, 2));
         let seen = w.warming.or(self.now, RECENT, TRUST, 0.0).exp(); // what it has shown since its start
-        let capacity =
-            (self.warmth(w, self.s.overload_for_s) * seen).min(1.0) * self.farm.slots_of(w).max(1.0) / speed;
-        sent + COLD_ERROR * job.work <= self.s.fall_multiple * capacity * self.s.overload_for_s * part
+        let capacity = (self.warmth(w, 0.0) * seen).min(1.0) * self.farm.slots_of(w).max(1.0) / speed;
+        sent + self.cold_work(job) <= self.s.fall_multiple * capacity * self.s.overload_for_s * part
+    }
+
+    fn cold_sent(&mut self, id: WorkerId, work: f64) {
+        let (from, now) = (self.now - self.s.overload_for_s, self.now);
+        self.farm.workers.get_mut(&id).into_iter().for_each(|w| w.cold_sends.add(from, now, work));
     }
 
     /// This dispatcher's part of a cold worker's budget, if it has one now.
@@ -300,46 +267,8 @@
             || (class.effect == Effect::Keyed && class.group == Group::All)
     }
 
-    fn warmth(&self, w: &Worker, back_s: f64) -> f64 {
-        let age =
-            if w.info.since > 0.0 { (self.now - back_s - w.info.since).max(0.0) } else { f64::INFINITY };
-        let share = self.s.cold_share.clamp(0.01, 1.0);
-        (share + (1.0 - share) * age / self.s.warm_within_s.max(1e-3)).min(1.0)
-    }
-
-    fn mean(&self, mean: &Mean, fallback: f64) -> f64 {
-        mean.or(self.now, KIND_RECENT, TRUST, fallback)
-    }
-
-    fn complexity(&self, work: f64) -> usize {
-        let steps = (work.ln() - self.mean(&self.seen.mean_work, work.ln())) / std::f64::consts::LN_2;
-        (steps.round() + 2.0).clamp(0.0, (CLASSES - 1) as f64) as usize
-    }
-
-    fn kind_ratio(&self, kind: usize) -> f64 {
-        self.mean(&self.farm.kinds[kind].speed, self.mean(&self.seen.fleet, 0.0))
-    }
-
-    /// Run time / hinted work in a complexity class, leaning on the worker's mean, its kind, the fleet.
-    fn ratio(&self, w: &Worker, cell: usize) -> f64 {
-        let overall = w.overall.or(self.now, RECENT, TRUST, self.kind_ratio(w.info.kind));
-        w.cells[cell].or(self.now, RECENT, TRUST, overall).exp()
-    }
-
-    fn run_time(&self, w: &Worker, work: f64) -> f64 {
-        work * self.ratio(w, self.complexity(work)) / self.warmth(w, 0.0)
-    }
-
-    fn fleet_run(&self) -> f64 {
-        (self.mean(&self.seen.mean_work, 0.0) + self.mean(&self.seen.fleet, 0.0)).exp().clamp(0.05, 60.0)
-    }
-
-    fn usual_wait(&self) -> f64 {
-        self.mean(&self.seen.start_wait, self.round)
-    }
-
     /// Whether own traffic tells which workers are free: more than answers without reports, up to a point.
-    fn sees(&self) -> bool {
+    pub(crate) fn sees(&self) -> bool {
         let few = if self.s.report.is_empty() { FEW.max(self.farm.ring.len() / 2) } else { FEW };
         self.s.dispatchers <= few || !self.s.probes
     }
@@ -348,23 +277,6 @@
         !self.sees() && self.s.report.is_empty()
     }
 
-    /// Full load where no dispatcher sees it in its own queue: hardly any worker has a slot free.
-    fn full_load(&self) -> bool {
-        !self.sees() && self.seen.busy.or(self.now, SOON, TRUST, 0.5) > FULL_LOAD
-    }
-
-    /// Slots that the other dispatchers are thought to hold: what was last learnt, fading to the usual.
-    fn others(&self, w: &Worker) -> f64 {
-        let alone = if self.s.dispatchers > 1 { 1.0 } else { 0.0 };
-        let usual = alone * self.seen.busy.or(self.now, SOON, TRUST, 0.5) * self.farm.slots_of(w);
-        usual + (w.slots.others - usual) * (-(self.now - w.slots.at).max(0.0) / self.fleet_run()).exp()
-    }
-
-    /// Slots thought free for this dispatcher; a worker just back from trouble is opened step by step.
-    fn free(&self, w: &Worker) -> f64 {
-        (self.farm.slots_of(w) - self.others(w) - w.slots.mine).min(1.0 + w.proven - w.slots.mine)
-    }
-
     /// Takes up a load report: wholly if just asked for, else half, as it tells of a while back.
     fn report(&mut self, id: WorkerId, load: Load, weight: f64) {
         let Some(w) = self.farm.workers.get(&id) else { return };
@@ -620,14 +532,6 @@
         self.wake_in(self.round.max(0.4 * ASK_AGAIN), out);
     }
 
-    /// How full warm workers will be by the next news of them, if all dispatchers fill them evenly.
-    fn level(&self) -> f64 {
-        let warm = |w: &&Worker| w.suspect.is_none() && self.warmth(w, 0.0) >= 1.0;
-        let warm = self.farm.ring.iter().map(|id| &self.farm.workers[id]).filter(warm);
-        let loads = warm.map(|w| (w.slots.mine + w.slots.others, self.farm.slots_of(w))).collect();
-        level::fill(loads, (self.now - self.farm.told + LIST_AGE) / self.fleet_run())
-    }
-
     /// Full load (Eq. 2): the time to clear what waits against the mean aim, stretched to the paper's 25%.
     fn shed(&self, order: &mut Vec<Ranked>, hopeless: &mut Vec<RequestId>) {
         let part = by_chance(self.farm.slots() / self.s.dispatchers as f64);
@@ -697,8 +601,8 @@
         job.held = false;
         job.attempts.push(Attempt::new(worker, self.now, self.s.tells_start));
         w.take(&job.req, !self.s.tells_start);
-        w.cold_sends.retain(|s| s.0 >= self.now - self.s.overload_for_s);
-        w.cold_sends.push((self.now, COLD_ERROR * job.work));
+        let work = self.cold_work(&self.jobs.all[&id]);
+        self.cold_sent(worker, work);
         out.push(Action::Route { request: id, worker });
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
+use crate::cold::Sends;
 
 /// Weights are rounded: a load under this is none.
 const LEAST_STEP: f64 = 0.04;
@@ -66,9 +67,17 @@
     pub all: Mean,
     /// By class: time to the deadline of a client's first try.
     pub longest_left: Vec<f64>,
+    /// By class: hinted work.
+    pub work: Vec<Mean>,
 }
 
 impl Seen {
+    /// Makes room for so many classes; what is known of them stays.
+    pub(crate) fn fit(&mut self, classes: usize) {
+        self.longest_left.resize(classes, 0.0);
+        self.work.resize(classes, Mean::default());
+    }
+
     /// The share of the traffic that comes this way: of what all hold at the workers, what is held from here,
     /// leaning on `usual` (this dispatcher's and all) as on one list. The shares of all come to one.
     pub(crate) fn share(&mut self, now: f64, recent: f64, held: (f64, f64), usual: (f64, f64)) -> f64 {
@@ -174,7 +183,7 @@
     /// When it last answered at once and nothing was sent since.
     pub offered: f64,
     /// Time and work of what it was sent lately, while cold.
-    pub cold_sends: Vec<(f64, f64)>,
+    pub cold_sends: Sends,
 }
 
 impl Worker {
@@ -252,11 +261,6 @@
         each.fold((0.0, 0.0), |sum, s| (sum.0 + s.mine, sum.1 + s.mine + s.others))
     }
 
-    /// Work that another process of the same dispatcher sent counts against a cold worker as its own does.
-    pub(crate) fn cold_sent(&mut self, id: WorkerId, now: f64, work: f64) {
-        self.workers.get_mut(&id).into_iter().for_each(|w| w.cold_sends.push((now, work)));
-    }
-
     /// What is known of the workers, with what was seen of the traffic.
     pub(crate) fn learnt(&self, seen: &Seen) -> Learnt {
         Learnt {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -282,3 +282,32 @@
     assert!(cancelled, "its place is free again");
     assert!(refused_at.is_some_and(|at| (0.3..1.1).contains(&at)), "{refused_at:?} of an aim of 1.1 s");
 }
+
+#[test]
+fn small_hints_do_not_slip_past_a_cold_workers_budget() {
+    // Drawn days 70418, 70422, 70524, 70525, 70557 and 70560: a cold box's budget held only jobs of small hints,
+    // and let any number of them through. By the usual work of their class it was sent 6 to 14 times what it
+    // could do when it fell.
+    let s = |index| Settings { dispatchers: 5, index, overload_for_s: 3.0, probes: false, ..settings() };
+    let cold = WorkerInfo { since: 100.0, ..worker(1) };
+    let hints = [1.6, 0.02, 0.9, 0.02]; // 0.635 on average
+    let mut sends = Vec::new();
+    for index in 0..5 {
+        let mut b = Bench::seeded(s(index), index as u64, vec![cold.clone()]);
+        for id in 0..160 {
+            b.send(Event::Request(Request { hint: Some(hints[id as usize % 4]), ..request(id, 0, b.now) }));
+            let sent = routes(&b.run(0.05));
+            for (id, _) in sent {
+                sends.push(b.now);
+                b.send(Event::Left(RequestId(id)));
+                b.end(id, 0, Outcome::Cancelled);
+            }
+        }
+    }
+    assert!(sends.len() > 10, "it gets some work: {sends:?}");
+    for &now in &sends {
+        let within = sends.iter().filter(|&&t| t > now - 3.0 && t <= now).count() as f64;
+        let can = (0.2 + 0.8 * (now - 100.0) / 20.0) * 2.0; // two slots, at the settings' least curve
+        assert!(within * 0.635 <= 3.0 * can * 3.0 * 1.25, "{within} jobs in three seconds at {now}");
+    }
+}
