--- a/src/config.rs
+++ b/src/config.rs
@@ -92,9 +92,7 @@
 fn read_settings(value: &Value) -> Result<Settings, SettingsError> {
     let mut lines = String::new();
     flatten("", value, &mut lines);
-    let settings: Settings = lines.parse()?;
-    // No probe is ever sent from here, whatever the deployment would allow.
-    Ok(Settings { probes: false, ..settings })
+    lines.parse()
 }
 
 fn flatten(path: &str, value: &Value, lines: &mut String) {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -189,6 +189,8 @@
     member_reuses,
     /// DELETEs sent to give up a job.
     deletes,
+    /// Questions to pool members.
+    probes,
     /// Discovery's messages taken up.
     pool_updates,
     /// Discovery's messages that could not be read.
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -26,9 +26,10 @@
 use super::member::{Dialer, Member};
 use super::peers::Peers;
 use super::pool::PoolUpdate;
+use super::probe::{probe, read_report};
 use super::queue::{Message, Queue};
 use super::words::{CallBack, News, Order, Passed, Payload, PeerId, Reply, Side, Transaction};
-use crate::api::{Action, Ended, Event, Load, Request, RequestId, Settings, WorkerId};
+use crate::api::{Action, Ended, Event, Load, Outcome, Request, RequestId, Settings, WorkerId};
 use crate::counters::{Counters, Gauge, Gauged};
 use crate::rules::Dispatcher;
 
@@ -254,6 +255,10 @@
                 let load = report.map(|report| self.load(&read_report(&report))).unwrap_or_default();
                 self.ended(id, attempt, end, load);
             }
+            Message::Probed(worker, outcome, report) => {
+                let load = self.load(&report);
+                self.tell(Event::Probed { worker, outcome, load });
+            }
             Message::Gateway(heard) => self.heard(*heard),
             Message::Pool(update) => self.pool(update, false),
             Message::Settings(settings) => {
@@ -493,8 +498,9 @@
                 let after = Duration::from_secs_f64(after_s.clamp(0.0, LONGEST_TIMER_S));
                 self.set_timer(Instant::now() + after, Due::Module(tag));
             }
-            // The watch of discovery runs all the time, and the settings say that nothing is probed.
-            Action::Subscribe | Action::Probe(_) => {}
+            Action::Probe(worker) => return self.probe(worker),
+            // The watch of discovery runs all the time.
+            Action::Subscribe => {}
         }
         None
     }
@@ -542,6 +548,21 @@
         None
     }
 
+    /// Asks a member; one that has left meanwhile answers nothing.
+    fn probe(&self, worker: WorkerId) -> Option<Event> {
+        let Some(member) = self.members.get(&worker) else {
+            return Some(Event::Probed { worker, outcome: Outcome::Moot, load: Load::default() });
+        };
+        self.counters.probes.add();
+        let (member, queue) = (Rc::clone(member), self.queue.clone());
+        let reports = !self.settings.report_names.is_empty();
+        tokio::task::spawn_local(async move {
+            let (outcome, report) = probe(member, reports).await;
+            queue.send(Message::Probed(worker, outcome, report));
+        });
+        None
+    }
+
     /// Runs a flow, and takes up its end.
     fn spawn(
         &self,
@@ -571,9 +592,3 @@
         load
     }
 }
-
-/// A load report as a header writes it: `name=value,name=value`.
-fn read_report(report: &str) -> Vec<(String, f64)> {
-    let pairs = report.split(',').filter_map(|pair| pair.split_once('='));
-    pairs.filter_map(|(name, value)| Some((name.trim().to_owned(), value.trim().parse().ok()?))).collect()
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod peers;
 pub mod pool;
+pub mod probe;
 pub mod queue;
 pub mod reload;
 pub mod request;
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -9,7 +9,7 @@
 use super::pool::PoolUpdate;
 use super::sites::Heard;
 use super::words::{CallBack, Moved, Passed, PeerId, Reply, Side, Transaction};
-use crate::api::{Learnt, RequestId, Settings, WorkerId};
+use crate::api::{Learnt, Outcome, RequestId, Settings, WorkerId};
 
 /// What reaches the engine.
 pub enum Message {
@@ -31,6 +31,8 @@
     SentElsewhere(String, f64),
     /// A flow has ended.
     FlowEnded(RequestId, usize, ConnectionEnd, Option<String>),
+    /// A member that was asked has answered, or not, with its load report.
+    Probed(WorkerId, Outcome, Vec<(String, f64)>),
     /// The pool has changed.
     Pool(PoolUpdate),
     /// Something at the gateway between sites.
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -34,7 +34,7 @@
     assert_eq!((s.connect_timeout_s, s.conn_idle_s, s.answer_slack_s), (0.3, 50.0, 0.04));
     assert_eq!(s.report, [ReportField::Other, ReportField::FreeSlots]);
     assert_eq!((s.zones.len(), s.kinds[1].as_str()), (2, "m2"));
-    assert!(!s.probes, "this program sends no probes, whatever is allowed");
+    assert!(s.probes, "both programs go by the same settings");
 }
 
 /// Once, every scheduler crashed on reading its first list: the last entry was cut short by a node.
--- a/tests/net/flows.rs
+++ b/tests/net/flows.rs
@@ -340,3 +340,29 @@
         ),
     );
 }
+
+/// Both programs try a suspect with a question where the settings allow one: on sockets a job was the trial.
+#[rstest]
+#[case::free("200", "Content-Length: 4\\r\\n\\r\\nx0=2")]
+#[case::in_an_object("200", "Content-Length: 8\\r\\n\\r\\n{\"x0\":2}")]
+#[case::nonsense("200", "Content-Length: 3\\r\\n\\r\\n{{{")]
+fn a_suspect_is_asked_before_it_gets_a_job(#[case] status: &str, #[case] rest: &str) {
+    let scenario = format!(
+        "s send config \"may_cancel\":true => \"may_cancel\":true,\"probes\":true
+        s send HUP
+        s expect log configuration
+        c1 send job r1
+        m1 expect new r1
+        m1 close
+        m1 expect new r1
+        m1 close
+        m1 expect new GET /status/load
+        m1 send raw HTTP/1.1 {status} OK\\r\\n{rest}
+        m1 expect r1
+        m1 send 202
+        c2 send call r1 m1 done
+        c1 expect drawn
+        s wait probes 1"
+    );
+    play(&PLAIN, &scenario);
+}
