--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,7 +22,7 @@
 const SAFE: f64 = 0.6; // a bulk job takes a slower worker while it ends within this part of its aim
 const KEEPS: f64 = 5.0; // a usual run saved outweighs so much room, in shares of a worker's slots
 const QUOTA_BURST: f64 = 2.0; // seconds of a quota that may come at once
-const LEAST_SPARE: f64 = 3.0; // attempts out beyond this dispatcher's part of the slots; else a deviation of chance
+const LEAST_SPARE: f64 = 3.0; // attempts out beyond this dispatcher's part of the slots, at the least
 const FEW: usize = 4; // so many dispatchers see enough by themselves: all workers are candidates
 const LEAST_LOOKS: usize = 2; // workers that a job is held against at the least: the power of two choices
 const ASK: usize = 2; // workers asked at a time whether they have a slot free
@@ -280,8 +280,8 @@
             || (class.effect == Effect::Keyed && class.group == Group::All)
     }
 
-    /// Whether own traffic tells which workers are free: that of a dispatcher for every two workers does, and a
-    /// question costs the worker work, the answer time.
+    /// Whether own traffic tells which workers are free: that of a dispatcher for every two workers does. A
+    /// question costs the worker work, and the answer time.
     pub(crate) fn sees(&self) -> bool {
         self.s.dispatchers <= FEW.max(self.farm.ring.len() / 2) || !self.s.probes
     }
