--- a/src/objects.rs
+++ b/src/objects.rs
@@ -6,8 +6,8 @@
 //! noted in which *place* the worker stood for the object, and by how much the run took longer than usual
 //! there; what places differ in is what choosing by them is worth.
 //!
-//! The places: this dispatcher sent the object there lately (by how many others it has sent there since); else
-//! the worker is one of the object's homes; else neither. Homes follow from the object and the list alone
+//! The places: the worker is one of the object's homes; else this dispatcher sent the object there lately (by how
+//! many others it has sent there since); else neither. Homes follow from the object and the list alone
 //! (rendezvous hashing, weighted by slots), so that all dispatchers name the same ones without talk, and a
 //! worker that comes or goes moves its own share only. An object that is asked for much has more homes: the
 //! first ones in an order of all workers, so that dispatchers that count differently still agree on most.
