--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -26,10 +26,11 @@
 use super::member::{Dialer, Member};
 use super::peers::Peers;
 use super::pool::PoolUpdate;
-use super::probe::{probe, read_report};
+use super::probe::probe;
 use super::queue::{Message, Queue};
+use super::report;
 use super::words::{CallBack, News, Order, Passed, Payload, PeerId, Reply, Side, Transaction};
-use crate::api::{Action, Ended, Event, Load, Outcome, Request, RequestId, Settings, WorkerId};
+use crate::api::{Action, Ended, Event, Load, Request, RequestId, Settings, WorkerId};
 use crate::counters::{Counters, Gauge, Gauged};
 use crate::rules::Dispatcher;
 
@@ -252,12 +253,12 @@
                 }
             }
             Message::FlowEnded(id, attempt, end, report) => {
-                let load = report.map(|report| self.load(&read_report(&report))).unwrap_or_default();
+                let load = report.map(|report| self.load(&report::from_header(&report))).unwrap_or_default();
                 self.ended(id, attempt, end, load);
             }
-            Message::Probed(worker, outcome, report) => {
+            Message::Probed(worker, end, report) => {
                 let load = self.load(&report);
-                self.tell(Event::Probed { worker, outcome, load });
+                self.tell(Event::Probed { worker, outcome: end.outcome(), load });
             }
             Message::Gateway(heard) => self.heard(*heard),
             Message::Pool(update) => self.pool(update, false),
@@ -551,14 +552,15 @@
     /// Asks a member; one that has left meanwhile answers nothing.
     fn probe(&self, worker: WorkerId) -> Option<Event> {
         let Some(member) = self.members.get(&worker) else {
-            return Some(Event::Probed { worker, outcome: Outcome::Moot, load: Load::default() });
+            let outcome = ConnectionEnd::MemberInactive.outcome();
+            return Some(Event::Probed { worker, outcome, load: Load::default() });
         };
         self.counters.probes.add();
         let (member, queue) = (Rc::clone(member), self.queue.clone());
         let reports = !self.settings.report_names.is_empty();
         tokio::task::spawn_local(async move {
-            let (outcome, report) = probe(member, reports).await;
-            queue.send(Message::Probed(worker, outcome, report));
+            let (end, report) = probe(member, reports).await;
+            queue.send(Message::Probed(worker, end, report));
         });
         None
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,6 +20,7 @@
 pub mod probe;
 pub mod queue;
 pub mod reload;
+pub mod report;
 pub mod request;
 pub mod sites;
 pub mod spare;
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -7,9 +7,10 @@
 
 use super::end::ConnectionEnd;
 use super::pool::PoolUpdate;
+use super::report::Report;
 use super::sites::Heard;
 use super::words::{CallBack, Moved, Passed, PeerId, Reply, Side, Transaction};
-use crate::api::{Learnt, Outcome, RequestId, Settings, WorkerId};
+use crate::api::{Learnt, RequestId, Settings, WorkerId};
 
 /// What reaches the engine.
 pub enum Message {
@@ -32,7 +33,7 @@
     /// A flow has ended.
     FlowEnded(RequestId, usize, ConnectionEnd, Option<String>),
     /// A member that was asked has answered, or not, with its load report.
-    Probed(WorkerId, Outcome, Vec<(String, f64)>),
+    Probed(WorkerId, ConnectionEnd, Report),
     /// The pool has changed.
     Pool(PoolUpdate),
     /// Something at the gateway between sites.
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -9,6 +9,7 @@
 
 use super::end::ConnectionEnd;
 use super::http::Head;
+use super::report;
 use super::words::{object_of, CallBack, News, Payload, Transaction};
 use crate::api::{Effect, Settings};
 
@@ -195,13 +196,10 @@
         "lost" => News::Ended(ConnectionEnd::Lost),
         _ => return None,
     };
-    // Not `get_object`: simd-json 0.15 cuts its slice of the tape one node short and panics on the last.
-    let load = value.get("load").and_then(|load| load.as_object());
-    let load = load.iter().flat_map(|load| load.iter());
     Some(CallBack {
         name: Bytes::copy_from_slice(value.get_str("id")?.as_bytes()),
         from: value.get_str("from")?.to_owned(),
         news,
-        load: load.filter_map(|(name, value)| Some((name.to_owned(), value.cast_f64()?))).collect(),
+        load: report::from_load(&value),
     })
 }
