--- a/src/api.rs
+++ b/src/api.rs
@@ -368,6 +368,8 @@
     SentElsewhere {
         /// The worker.
         worker: WorkerId,
+        /// The class of the job.
+        class: usize,
         /// The work, as hinted.
         work: f64,
     },
--- a/src/estimates.rs
+++ b/src/estimates.rs
@@ -44,10 +44,6 @@
         (deadline - longest).min(self.now) + aim - work * self.usual_ratio()
     }
 
-    pub(crate) fn usual_work(&self) -> f64 {
-        self.mean(&self.seen.mean_work, 0.0).exp()
-    }
-
     pub(crate) fn usual_ratio(&self) -> f64 {
         self.mean(&self.seen.fleet, 0.0).exp()
     }
@@ -112,10 +108,8 @@
     }
 
     /// What a job counts for at a cold worker: no less than others of its class, whatever its hint says.
-    pub(crate) fn cold_work(&self, job: &Job) -> f64 {
-        let class = &self.s.classes[job.req.class];
-        let usual = self.seen.work[job.req.class].or(self.now, KIND_RECENT, 1.0, class.aim_s);
-        job.work.max(usual)
+    pub(crate) fn cold_work(&self, class: usize, work: f64) -> f64 {
+        work.max(self.seen.work[class].or(self.now, KIND_RECENT, 1.0, self.s.classes[class].aim_s))
     }
 
     /// Full load where no dispatcher sees it in its own queue: hardly any worker has a slot free.
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -127,7 +127,7 @@
     timers_set: u64,
     peers: Peers,
     /// What members were sent lately: a process that joins must count it against the cold ones.
-    sends: VecDeque<(Instant, String, f64)>,
+    sends: VecDeque<(Instant, String, usize, f64)>,
     /// Another process has taken over: transactions are moved there.
     moves: bool,
     /// Those that have been.
@@ -247,9 +247,9 @@
                 let learnt = learnt.renumbered(number);
                 self.tell(Event::Learnt(Box::new(learnt)));
             }
-            Message::SentElsewhere(name, work) => {
+            Message::SentElsewhere(name, class, work) => {
                 if let Some(&worker) = self.numbers.get(&name) {
-                    self.tell(Event::SentElsewhere { worker, work });
+                    self.tell(Event::SentElsewhere { worker, class, work });
                 }
             }
             Message::FlowEnded(id, attempt, end, report) => {
@@ -395,8 +395,8 @@
             self.peers.tell(peer, Frame::Opened(name.clone()));
         }
         self.forget_sends();
-        for (_, name, work) in &self.sends {
-            self.peers.tell(peer, Frame::Sent(name.clone(), *work));
+        for (_, name, class, work) in &self.sends {
+            self.peers.tell(peer, Frame::Sent(name.clone(), *class, *work));
         }
     }
 
@@ -532,7 +532,7 @@
         if let Some(crossings) = &mut self.crossings {
             crossings.runs_here(&self.settings.classes[live.class], &live.payload);
         }
-        let (name, work) = (member.name.clone(), live.hint.unwrap_or(0.0));
+        let (name, class, work) = (member.name.clone(), live.class, live.hint.unwrap_or(0.0));
         let flow = Flow {
             member: Rc::clone(member),
             payload: Rc::clone(&live.payload),
@@ -544,8 +544,8 @@
         };
         self.spawn(request, attempt, flow.run());
         self.forget_sends();
-        self.peers.pass(None, &Frame::Sent(name.clone(), work));
-        self.sends.push_back((Instant::now(), name, work));
+        self.peers.pass(None, &Frame::Sent(name.clone(), class, work));
+        self.sends.push_back((Instant::now(), name, class, work));
         None
     }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -212,9 +212,9 @@
                     let passed = Some(Passed { from: id, hops });
                     self.queue.send(Message::CallBack(call_back, passed));
                 }
-                (Frame::Sent(name, work), _) => {
-                    self.peers.pass(Some(id), &Frame::Sent(name.clone(), work));
-                    self.queue.send(Message::SentElsewhere(name, work));
+                (Frame::Sent(name, class, work), _) => {
+                    self.peers.pass(Some(id), &Frame::Sent(name.clone(), class, work));
+                    self.queue.send(Message::SentElsewhere(name, class, work));
                 }
                 (Frame::Listener | Frame::Connection { .. } | Frame::Transaction { .. }, _) => {}
             }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -58,8 +58,8 @@
     Closed(Bytes),
     /// A call-back for a transaction that is not open where it came in, and how often it was passed on.
     CallBack(CallBack, u8),
-    /// So much work went to the member of this name.
-    Sent(String, f64),
+    /// A job of this class went to the member of this name, with so much work.
+    Sent(String, usize, f64),
 }
 
 impl Frame {
--- a/src/net/queue.rs
+++ b/src/net/queue.rs
@@ -28,8 +28,8 @@
     Joined(PeerId, Side),
     /// What the process that is replaced has learnt, with the names of the members in its numbers.
     Learnt(Box<Learnt>, Vec<(WorkerId, String)>),
-    /// Another process has sent so much work to the member of this name.
-    SentElsewhere(String, f64),
+    /// Another process has sent a job of this class to the member of this name, with so much work.
+    SentElsewhere(String, usize, f64),
     /// A flow has ended.
     FlowEnded(RequestId, usize, ConnectionEnd, Option<String>),
     /// A member that was asked has answered, or not, with its load report.
--- a/src/objects.rs
+++ b/src/objects.rs
@@ -16,14 +16,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::state::{chance, Mean};
+use crate::api::WorkerId;
+use crate::state::{chance, spread, Mean};
 
 /// Objects counted at the most.
 const MOST: usize = 512;
 /// An object is asked for again, not only once, from this count on.
 const AGAIN: f64 = 1.5;
-/// Spreads the tags of workers (the odd number nearest to 2^64 over the golden ratio).
-const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
 /// How long an object stays asked for, in seconds.
 const ASKED: f64 = 30.0;
 /// Run times by place fade with this time constant, in seconds.
@@ -67,16 +66,15 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Asked {
     count: Mean,
+    /// Tags of workers, the first first.
     homes: Vec<u64>,
-    /// The list by which the homes were found.
-    list: u64,
 }
 
 /// What is known of the objects.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Objects {
     asked: BTreeMap<u64, Asked>,
     all: Mean,
@@ -86,14 +84,9 @@
 
 impl Objects {
     /// Counts a request for an object, and finds its homes once it has been asked for before. `workers` gives
-    /// the tags of those that take work, with their weights; there are `n`, and `list` changes whenever they do.
-    pub(crate) fn ask(
-        &mut self,
-        now: f64,
-        object: u64,
-        (n, list): (usize, u64),
-        workers: impl FnOnce() -> Vec<(u64, f64)>,
-    ) {
+    /// the tags of those that take work, with their weights. Both change as the list does and as the workers'
+    /// sizes are learnt, so they are asked for each time.
+    pub(crate) fn ask(&mut self, now: f64, object: u64, workers: impl FnOnce() -> Vec<(u64, f64)>) {
         if self.asked.len() >= MOST && !self.asked.contains_key(&object) {
             // What was asked for once, or long ago. Were all asked for again and again, no homes would help.
             self.asked.retain(|_, a| a.count.left(now, ASKED) >= AGAIN);
@@ -106,17 +99,15 @@
         let asked = self.asked.entry(object).or_default();
         asked.count.add(now, ASKED, 1.0, 1.0);
         let count = asked.count.left(now, ASKED);
-        let homes = ((HOMES * count / all * n as f64).ceil() as usize).clamp(1, n.max(1));
-        if count < AGAIN || asked.list == list && asked.homes.len() == homes {
+        if count < AGAIN {
             return;
         }
-        let key = |(tag, weight): (u64, f64)| {
-            (-chance(object.rotate_left(32) ^ tag.wrapping_mul(MIX)).ln() / weight.max(1e-9), tag)
-        };
+        let draw = |tag| chance(spread(object, WorkerId(tag)));
+        let key = |(tag, weight): (u64, f64)| (-draw(tag).ln() / weight.max(1e-9), tag);
         let mut order: Vec<_> = workers().into_iter().map(key).collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
-        asked.homes = order.into_iter().take(homes).map(|worker| worker.1).collect();
-        asked.list = list;
+        let homes = (HOMES * count / all * order.len() as f64).ceil() as usize;
+        asked.homes = order.into_iter().take(homes.max(1)).map(|worker| worker.1).collect();
     }
 
     /// Whether a request goes where it would if nothing were kept anywhere, so that what is believed is put to
@@ -179,7 +170,7 @@
     fn ten_thousand_objects_asked_for_once_are_forgotten_and_have_no_homes() {
         let mut objects = Objects::default();
         for object in 1..=10_000 {
-            objects.ask(object as f64 * 0.01, object, (12, 1), || unreachable!("no order is made for them"));
+            objects.ask(object as f64 * 0.01, object, || unreachable!("no order is made for them"));
             assert!(objects.asked.len() <= MOST && !objects.any_homes());
         }
     }
@@ -189,7 +180,7 @@
         let mut objects = Objects::default();
         for n in 0..600u64 {
             let object = if n % 3 == 0 { 1 } else { 2 + n % 66 };
-            objects.ask(n as f64 * 0.02, object, (12, 1), || fleet(12));
+            objects.ask(n as f64 * 0.02, object, || fleet(12));
         }
         let (popular, rare) = (homes(&objects, 1).len(), homes(&objects, 6).len());
         assert!((6..=9).contains(&popular) && rare == 1, "{popular} and {rare}");
@@ -198,18 +189,27 @@
     #[test]
     fn a_worker_that_comes_or_goes_moves_its_own_share_only() {
         let mut objects = Objects::default();
-        let ask = |objects: &mut Objects, n: u64, list| {
+        let ask = |objects: &mut Objects, n: u64| {
             for object in (0..200).chain(0..200) {
-                objects.ask(1.0, object, (n as usize, list), || fleet(n));
+                objects.ask(1.0, object, || fleet(n));
             }
             (0..200).map(|object| homes(objects, object)[0]).collect::<Vec<_>>()
         };
-        let (twelve, eleven) = (ask(&mut objects, 12, 1), ask(&mut objects, 11, 2));
+        let (twelve, eleven) = (ask(&mut objects, 12), ask(&mut objects, 11));
         let moved: Vec<_> = twelve.iter().zip(&eleven).filter(|(a, b)| a != b).collect();
         assert!(moved.iter().all(|(a, _)| **a == 11), "only what was at the worker that went");
         assert!((8..=32).contains(&moved.len()), "about a twelfth of 200: {}", moved.len());
     }
 
+    #[test]
+    fn a_restarted_worker_keeps_nothing_of_before() {
+        let mut w = crate::state::Worker::unknown();
+        (1..20).for_each(|object| keep(&mut w.near, object));
+        let before = Objects::default().place(19, 7, &w.near);
+        let after = Objects::default().place(19, 7, &w.restarted().near);
+        assert_eq!((w.near.len(), before, after), (KEPT, Place::Near(0), Place::Far));
+    }
+
     #[test]
     fn places_that_save_nothing_are_not_preferred_once_runs_have_shown_it() {
         let mut objects = Objects::default();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -75,7 +75,7 @@
 
     /// What another process of this dispatcher should know from its start.
     pub fn learnt(&self) -> Learnt {
-        self.farm.learnt(&self.seen)
+        self.farm.learnt(&self.seen, &self.objects)
     }
 
     /// Hands a request over to another process of this dispatcher: nothing of it is left here.
@@ -97,7 +97,7 @@
             Event::Request(req) if self.jobs.all.contains_key(&req.id) => {}
             Event::Request(req) => self.accept(req, out),
             Event::Learnt(learnt) => {
-                self.seen = self.farm.take_up(*learnt);
+                (self.seen, self.objects) = self.farm.take_up(*learnt);
                 self.seen.fit(self.s.classes.len());
             }
             Event::TakenOver(record) => self.begin(record.0, out),
@@ -112,7 +112,10 @@
             // The deadline sweep: a request ends here at the latest, whatever else went wrong.
             Event::Timer(tag) if tag >= DEADLINE => self.end(RequestId(tag as u32), out),
             Event::Timer(_) => {}
-            Event::SentElsewhere { worker, work } => self.cold_sent(worker, work.max(self.usual_work())),
+            Event::SentElsewhere { worker, class, work } if class < self.s.classes.len() => {
+                self.cold_sent(worker, self.cold_work(class, work));
+            }
+            Event::SentElsewhere { .. } => {}
             Event::Probed { worker, outcome, load } => self.probed(worker, outcome, load, out),
         }
     }
@@ -165,10 +168,10 @@
         self.seen.mean_work.add(self.now, KIND_RECENT, work.ln(), 1.0);
         self.seen.work[req.class].add(self.now, KIND_RECENT, work, 1.0);
         if let Some(object) = req.object {
-            let (farm, list) = (&self.farm, (self.farm.ring.len(), self.farm.version));
+            let farm = &self.farm;
             let weigh = |w: &Worker| (w.info.tag, farm.slots_of(w));
             let weights = || farm.ring.iter().map(|id| weigh(&farm.workers[id])).collect();
-            self.objects.ask(self.now, object, list, weights);
+            self.objects.ask(self.now, object, weights);
         }
         // A client's later tries have less time left than its first: the aim counts from the first.
         let longest = &mut self.seen.longest_left[req.class];
@@ -246,7 +249,8 @@
         let seen = w.warming.or(self.now, RECENT, TRUST, 0.0).exp(); // what it has shown since its start
         let capacity = (self.warmth(w, 0.0) * seen).min(1.0) * self.farm.slots_of(w).max(1.0) / speed;
         // To the nearest whole job: parts are as often too large for their last job as too small.
-        sent + 0.5 * self.cold_work(job) <= self.s.fall_multiple * capacity * self.s.overload_for_s * part
+        sent + 0.5 * self.cold_work(job.req.class, job.work)
+            <= self.s.fall_multiple * capacity * self.s.overload_for_s * part
     }
 
     fn cold_sent(&mut self, id: WorkerId, work: f64) {
@@ -638,8 +642,8 @@
         job.req.object.into_iter().for_each(|object| objects::keep(&mut w.near, object));
         job.attempts.push(Attempt::new(worker, self.now, self.s.tells_start, place));
         w.take(&job.req, !self.s.tells_start);
-        let work = self.cold_work(&self.jobs.all[&id]);
-        self.cold_sent(worker, work);
+        let (class, work) = (job.req.class, job.work);
+        self.cold_sent(worker, self.cold_work(class, work));
         out.push(Action::Route { request: id, worker });
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,7 +7,7 @@
 
 use crate::api::*;
 use crate::cold::Sends;
-use crate::objects::Place;
+use crate::objects::{Objects, Place};
 
 /// Weights are rounded: a load under this is none.
 const LEAST_STEP: f64 = 0.04;
@@ -97,6 +97,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Learnt {
     seen: Seen,
+    objects: Objects,
     kinds: Vec<Kind>,
     workers: Vec<Worker>,
 }
@@ -244,8 +245,6 @@
     pub suspects: Vec<WorkerId>,
     /// When a list last told what all hold.
     pub told: f64,
-    /// Counts the changes of the ring.
-    pub version: u64,
 }
 
 impl Farm {
@@ -272,9 +271,10 @@
     }
 
     /// What is known of the workers, with what was seen of the traffic.
-    pub(crate) fn learnt(&self, seen: &Seen) -> Learnt {
+    pub(crate) fn learnt(&self, seen: &Seen, objects: &Objects) -> Learnt {
         Learnt {
             seen: seen.clone(),
+            objects: objects.clone(),
             kinds: self.kinds.clone(),
             workers: self.workers.values().cloned().collect(),
         }
@@ -282,7 +282,7 @@
 
     /// Takes up what another process of this dispatcher has learnt of the workers that are listed here, but
     /// not what it holds there. Gives back what it has seen.
-    pub(crate) fn take_up(&mut self, learnt: Learnt) -> Seen {
+    pub(crate) fn take_up(&mut self, learnt: Learnt) -> (Seen, Objects) {
         for (own, kind) in self.kinds.iter_mut().zip(learnt.kinds) {
             *own = Kind { ready: own.ready, ..kind };
         }
@@ -297,7 +297,7 @@
         }
         let suspects = self.ring.iter().filter(|id| self.workers[id].suspect.is_some());
         self.suspects = suspects.copied().collect();
-        learnt.seen
+        (learnt.seen, learnt.objects)
     }
 
     /// A worker has proved itself: it is a suspect no longer, and its work comes back step by step.
@@ -400,7 +400,6 @@
         ready().for_each(|w| self.kinds[w.info.kind].ready += 1.0);
         self.ring = ready().map(|w| w.info.id).collect();
         self.ring.sort_by_cached_key(|&id| order(id));
-        self.version += 1;
         self.suspects = ready().filter(|w| w.suspect.is_some()).map(|w| w.info.id).collect();
     }
 }
--- a/tests/objects.rs
+++ b/tests/objects.rs
@@ -135,21 +135,47 @@
     assert!(sent.len() >= 4 && at.values().all(|&n| n <= 2), "{at:?}");
 }
 
+#[rstest::rstest]
+#[case::no_hint(None)]
+#[case::nothing(Some(0.0))]
+#[case::endless(Some(1e9))]
+fn odd_hints_and_an_aim_beyond_the_deadline_get_one_answer_in_time(#[case] hint: Option<f64>) {
+    let mut s = few(0);
+    s.classes.iter_mut().for_each(|class| (class.aim_s, class.late_worth) = (60.0, 0.5));
+    let mut b = Bench::new(s, fleet(2));
+    for id in 0..12 {
+        b.send(Event::Request(Request { hint, object: Some(1), ..request(id, 0, b.now) }));
+    }
+    let actions = b.run(9.999);
+    assert!(!routes(&actions).is_empty(), "it is placed like any other");
+    for id in 0..12 {
+        let answers = usize::from(refused(&actions, id)) + usize::from(failed(&actions, id));
+        assert_eq!(answers, 1, "request {id}, whose workers never answer");
+    }
+}
+
 #[test]
-fn a_worker_that_restarted_keeps_nothing_of_before() {
-    let mut b = Bench::new(few(0), fleet(2));
-    let mut keepers = Keepers { kept: 4, fetch: 0.3, holds: BTreeMap::new(), hits: 0 };
-    let sent = play(&mut b, &mut keepers, 200, twenty);
-    let known = sent[150..].iter().find(|s| s.0 == 1).expect("sent").1;
-    // Gone for a moment and back, long enough ago to be warm: what it kept is gone with its process.
-    let entries = vec![WorkerInfo { since: b.now - 30.0, ..worker(known) }];
-    b.send(Event::Workers { whole: false, cached: false, entries });
-    keepers.holds.remove(&known);
-    let again = play(&mut b, &mut keepers, 40, twenty);
-    assert!(again.iter().any(|s| s.1 == known), "it is used like any other");
+fn a_keyed_repeat_stays_in_its_zone_wherever_its_object_is_at_home() {
+    for object in 1..=20 {
+        let mut s = few(0);
+        s.classes[2].group = Group::Zone;
+        let zone = |n: u64| WorkerInfo { zone: (n % 2) as u16, ..worker(n) };
+        let mut b = Bench::new(s, (1..=8).map(zone).collect());
+        for id in 0..3 {
+            b.send(Event::Request(Request { object: Some(object), ..request(id, 2, b.now) }));
+        }
+        let sent = routes(&b.run(0.1));
+        let &(id, first) = sent.first().expect("it is sent");
+        let mut actions = b.end(id, 0, Outcome::Reset);
+        actions.extend(b.run(0.5));
+        let again = routes(&actions).into_iter().find(|r| r.0 == id).expect("another of its zone takes it");
+        assert_eq!(again.1 % 2, first % 2, "object {object}");
+    }
 }
 
 #[rstest::rstest]
+#[case::alone(1, 1, false)]
+#[case::four(4, 2, false)]
 #[case::five(5, 18, false)]
 #[case::six(6, 18, false)]
 #[case::twenty_on_few(20, 18, true)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -143,7 +143,7 @@
 }
 
 #[test]
-fn rule_4_the_budget_is_that_of_the_start_of_the_window() {
+fn rule_4_a_window_just_after_a_start_gets_what_the_worker_can_do_then() {
     // Found in incident ib76876: seven dispatchers used their whole budgets, reckoned with the capacity
     // at the end of a window and too small a margin, and pushed a worker over together. A job counts for the
     // usual work of its class at the least, which takes the place of a flat margin.
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -76,7 +76,7 @@
     let sent = |elsewhere: f64| {
         let (_, mut new) = pair(99.0);
         for worker in [11, 12].map(WorkerId) {
-            new.send(Event::SentElsewhere { worker, work: elsewhere });
+            new.send(Event::SentElsewhere { worker, class: 0, work: elsewhere });
         }
         new.send(Event::Request(request(1, 0, 100.0)));
         routes(&new.run(0.1)).len()
