Ask discovery beside a doubted watch, by named clocks; read indented lists

Checked: SILENCE (6.5 s in discovery.rs) alone was not it at 300 schedulers: Pace drew waits up to 3.5 s also where an agent on the own machine is asked. Wrong: SILENCE, and Pace::again for pushed lists. Change: src/net/pool/vigil.rs doubts a watch after one missed line and asks beside it, the first that speaks is kept; the clocks stand in clock.rs; lists are cut by serde_json's stream, so that they may be indented or torn anywhere.

--- a/src/api.rs
+++ b/src/api.rs
@@ -135,6 +135,8 @@
     pub live_weights: bool,
     /// Without a subscription, the longest gap between calls for the list.
     pub ask_within_s: f64,
+    /// Once it is told that a worker drains, a dispatcher may send there for so long.
+    pub drain_grace_s: f64,
     /// A worker starts at this share of its capacity or more ...
     pub cold_share: f64,
     /// ... and is warm after this long at the latest.
@@ -183,6 +185,7 @@
             ask_for_list: false,
             live_weights: false,
             ask_within_s: 10.0,
+            drain_grace_s: 0.25,
             cold_share: 0.1,
             warm_within_s: 30.0,
             fall_multiple: 1.0,
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -18,7 +18,7 @@
 use chutesaddle::net::lifecycle::{Lifecycle, Phase};
 use chutesaddle::net::pool::discovery::Watch;
 use chutesaddle::net::pool::member::Dialer;
-use chutesaddle::net::pool::pace::Pace;
+use chutesaddle::net::pool::vigil::Vigil;
 use chutesaddle_gateway::Gateway;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -108,14 +108,13 @@
         }
         None => (engine, None),
     };
-    let watch = Watch {
-        address: config.discovery,
-        version: config.known.version,
-        queue: queue.clone(),
-        counters: Rc::clone(&counters),
-        pace: Pace::new(settings.dispatchers, config.seed),
-        behind: None,
-    };
+    let watch = Watch::new(
+        config.discovery,
+        config.known.version,
+        queue.clone(),
+        Rc::clone(&counters),
+        Vigil::new(&settings, config.seed, Duration::ZERO),
+    );
     let front = Rc::new(Front::new(
         settings.clone(),
         queue.clone(),
--- a/src/net/pool/discovery.rs
+++ b/src/net/pool/discovery.rs
@@ -1,25 +1,29 @@
 //! Follows discovery's list of members, the pool, and hands every change to the engine.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
-use tokio::sync::watch;
-use tokio::time::{sleep, timeout, Instant};
+use bytes::Bytes;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::{sleep_until, Instant};
 
 use crate::listing::PoolUpdate;
 use crate::net::counters::Counters;
 use crate::net::http::{Connection, HttpError};
-use crate::net::pool::pace::Pace;
+use crate::net::pool::clock::TOLD;
+use crate::net::pool::reading::{Piece, Reading};
+use crate::net::pool::vigil::{CallId, Vigil};
 use crate::net::queue::{Message, Queue};
 
-/// A line comes every 2 s: after three missed ones the watch is taken for dead.
-const SILENCE: Duration = Duration::from_millis(6500);
 /// A whole list that is older than what is known is passed over for this long, in which whoever serves it can catch
-/// up; discovery has then been set back. A change counts as told 6 s after it at the latest.
-const CATCH_UP: Duration = Duration::from_secs(5);
+/// up; discovery has then been set back. A second before what it has to tell counts as told, it is asked anew.
+const CATCH_UP: Duration = TOLD.saturating_sub(Duration::from_secs(1));
+/// Chunks that wait to be taken up.
+const WAITING: usize = 16;
 /// The longest line, and so the longest list, that is taken.
 const LINE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -34,12 +38,8 @@
     Status(u16),
     #[error("the watch ended")]
     Ended,
-    #[error("nothing came for a while")]
-    Silent,
     #[error("a line is too long")]
     LongLine,
-    #[error("it has been behind what it told before for too long")]
-    Behind,
 }
 
 /// Waits for another address; for good, once there can be none.
@@ -49,103 +49,140 @@
     }
 }
 
-/// A watch of discovery, started anew whenever it ends.
+/// What one call has brought: a chunk, or its end.
+type Said = (CallId, Result<Bytes, WatchError>);
+
+/// A watch of discovery, and the calls beside it while it is doubted.
 pub struct Watch {
-    /// Where discovery answers.
-    pub address: SocketAddr,
+    address: SocketAddr,
     /// The version that is known.
-    pub version: u64,
-    /// Where changes go.
-    pub queue: Queue,
-    /// Counts messages and restarts.
-    pub counters: Rc<Counters>,
-    /// How fast to ask.
-    pub pace: Pace,
+    version: u64,
+    queue: Queue,
+    counters: Rc<Counters>,
+    vigil: Vigil,
     /// Since when discovery tells of less than is known.
-    pub behind: Option<Instant>,
+    behind: Option<Instant>,
+    calls: HashMap<CallId, Call>,
+    /// It has been written down that nothing is heard.
+    lost: bool,
+    origin: Instant,
+}
+
+struct Call {
+    /// Ends with the call.
+    _task: JoinSet<()>,
+    reading: Reading,
 }
 
 impl Watch {
+    /// Of discovery at this address, from this version on. The vigil counts from now.
+    pub fn new(
+        address: SocketAddr,
+        version: u64,
+        queue: Queue,
+        counters: Rc<Counters>,
+        vigil: Vigil,
+    ) -> Self {
+        let (calls, origin) = (HashMap::new(), Instant::now());
+        Watch { address, version, queue, counters, vigil, behind: None, calls, lost: false, origin }
+    }
+
     /// Follows discovery for good, at the address that counts at the time. While it is silent, the pool
     /// stays as it was last told.
     pub async fn run(mut self, mut addresses: watch::Receiver<SocketAddr>) {
-        let mut lost = false;
-        sleep(self.pace.start()).await;
+        let (says, mut said) = mpsc::channel::<Said>(WAITING);
+        self.address = *addresses.borrow_and_update();
         loop {
-            let address = *addresses.borrow_and_update();
-            if address != self.address {
-                // Its versions are its own. Until it speaks, what the old one told last still holds.
-                tracing::info!("discovery is followed at {address} from now on");
-                (self.address, self.version, self.behind, lost) = (address, 0, None, false);
-                self.pace.heard();
-            }
-            if self.is_set_back() {
-                (self.version, self.behind) = (0, None); // from now on what it tells is all that counts
-            }
-            let mut heard = false;
-            let error = tokio::select! {
-                biased; // what the old address says once another counts is old news
-                () = changed(&mut addresses) => continue,
-                Err(error) = self.follow(&mut heard) => error,
-            };
-            self.counters.pool_reconnects.add();
-            tracing::debug!(heard, "the watch of discovery ended: {error}");
-            if heard {
-                self.pace.heard();
-                lost = false;
-            }
-            // Once for each time it is lost, not for each try.
-            if !std::mem::replace(&mut lost, true) {
-                tracing::warn!("discovery lost, the pool stays as last told: {error}");
-            }
+            let ask_at = self.origin + self.vigil.ask_at();
             tokio::select! {
-                () = sleep(self.pace.again()) => {}
-                () = changed(&mut addresses) => {}
+                biased; // what the old address says once another counts is old news
+                () = changed(&mut addresses) => {
+                    let address = *addresses.borrow_and_update();
+                    if address != self.address {
+                        // Its versions are its own. Until it speaks, what the old one told last still holds.
+                        tracing::info!("discovery is followed at {address} from now on");
+                        (self.address, self.lost) = (address, false);
+                        self.anew();
+                    }
+                }
+                Some((id, what)) = said.recv() => self.take(id, what),
+                () = sleep_until(ask_at) => self.ask(&says),
             }
+            self.calls.retain(|id, _| self.vigil.holds(*id));
         }
     }
 
-    /// One watch, until it ends.
-    async fn follow(&mut self, heard: &mut bool) -> Result<Infallible, WatchError> {
-        let mut connection = timeout(SILENCE, self.open()).await.map_err(|_| WatchError::Silent)??;
-        let mut rest = BytesMut::new();
-        loop {
-            let chunk = timeout(SILENCE, connection.chunk(LINE_BYTES)).await;
-            let chunk = chunk.map_err(|_| WatchError::Silent)??.ok_or(WatchError::Ended)?;
-            *heard = true;
-            let mut searched = rest.len(); // a long line in many small chunks is searched once
-            rest.extend_from_slice(&chunk);
-            while let Some(end) = rest[searched..].iter().position(|&byte| byte == b'\n') {
-                let end = searched + end;
-                self.line(&mut rest.split_to(end + 1)[..end]);
-                searched = 0;
-            }
-            if self.is_set_back() {
-                return Err(WatchError::Behind);
-            }
-            if rest.len() > LINE_BYTES {
-                return Err(WatchError::LongLine);
-            }
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// From now on what discovery tells is all that counts.
+    fn anew(&mut self) {
+        (self.version, self.behind) = (0, None);
+        self.vigil.anew(self.now());
+    }
+
+    fn ask(&mut self, says: &mpsc::Sender<Said>) {
+        if self.is_set_back() {
+            (self.version, self.behind) = (0, None);
         }
+        let id = self.vigil.ask(self.now());
+        if id > 1 {
+            self.counters.pool_reconnects.add();
+        }
+        if self.calls.keys().any(|call| *call != id) {
+            tracing::debug!("nothing is heard from discovery, which is asked anew");
+            self.lose("nothing came for a while");
+        }
+        let (address, since, says) = (self.address, self.version, says.clone());
+        let mut task = JoinSet::new();
+        task.spawn_local(async move {
+            let Err(error) = follow(address, since, id, &says).await;
+            let _ = says.send((id, Err(error))).await; // only a scheduler that ends does not listen
+        });
+        self.calls.insert(id, Call { _task: task, reading: Reading::default() });
     }
 
-    async fn open(&self) -> Result<Connection, WatchError> {
-        let mut connection = Connection::connect(self.address).await?;
-        let target = format!("GET /v1/endpoints?follow=1&since={} HTTP/1.1\r\n", self.version);
-        connection.write(&[target.as_bytes(), format!("Host: {}\r\n\r\n", self.address).as_bytes()]).await?;
-        let head = connection.response_head().await?;
-        if head.status == 200 {
-            Ok(connection)
-        } else {
-            Err(WatchError::Status(head.status))
+    fn take(&mut self, id: CallId, said: Result<Bytes, WatchError>) {
+        let Some(call) = self.calls.get_mut(&id) else { return }; // given up meanwhile
+        let ended = match said {
+            Ok(chunk) => {
+                let pieces = call.reading.take(&chunk);
+                let (open, long) = (call.reading.is_open(), call.reading.len() > LINE_BYTES);
+                // A list that has begun may never end: only what is whole has been said.
+                if !open {
+                    self.vigil.spoke(self.now(), id);
+                    self.lost = false;
+                }
+                for piece in pieces {
+                    match piece {
+                        Piece::Value(mut value) => self.list(&mut value),
+                        Piece::Nonsense => self.malformed("a line that is no list"),
+                    }
+                }
+                if self.is_set_back() {
+                    self.anew();
+                }
+                long.then_some(WatchError::LongLine)
+            }
+            Err(error) => Some(error),
+        };
+        if let Some(error) = ended {
+            tracing::debug!("a call to discovery ended: {error}");
+            self.vigil.ended(self.now(), id);
+            self.lose(&error.to_string());
         }
     }
 
-    /// Takes up one line; an empty one only says that the watch lives.
-    fn line(&mut self, line: &mut [u8]) {
-        if line.trim_ascii().is_empty() {
-            return;
+    /// Once for each time that discovery is lost, not for each try.
+    fn lose(&mut self, why: &str) {
+        if !std::mem::replace(&mut self.lost, true) {
+            tracing::warn!("discovery lost, the pool stays as last told: {why}");
         }
+    }
+
+    /// Takes up one list.
+    fn list(&mut self, line: &mut [u8]) {
         tracing::trace!(line = %line.escape_ascii(), "pool told");
         let tape = simd_json::to_tape(line);
         let Some(update) = tape.ok().and_then(|tape| PoolUpdate::read(&tape.as_value())) else {
@@ -177,3 +214,23 @@
         }
     }
 }
+
+/// One call, until it ends: opens a watch and hands on what it says.
+async fn follow(
+    address: SocketAddr,
+    since: u64,
+    id: CallId,
+    says: &mpsc::Sender<Said>,
+) -> Result<Infallible, WatchError> {
+    let mut connection = Connection::connect(address).await?;
+    let target = format!("GET /v1/endpoints?follow=1&since={since} HTTP/1.1\r\n");
+    connection.write(&[target.as_bytes(), format!("Host: {address}\r\n\r\n").as_bytes()]).await?;
+    let head = connection.response_head().await?;
+    if head.status != 200 {
+        return Err(WatchError::Status(head.status));
+    }
+    loop {
+        let chunk = connection.chunk(LINE_BYTES).await?.ok_or(WatchError::Ended)?;
+        let _ = says.send((id, Ok(chunk))).await; // only a scheduler that ends does not listen
+    }
+}
--- a/src/net/pool/pace.rs
+++ b/src/net/pool/pace.rs
@@ -18,12 +18,15 @@
 /// The first call is never later: whoever has just started counts as told of drains as if it had asked at once, and
 /// may send for half a second more.
 const LATEST_START: Duration = Duration::from_millis(250);
-/// No later wait is longer, however many schedulers there are: with the time that a call may take to fail, it stays
-/// within the six seconds after which a drain counts as told.
+/// No later wait is longer, however many schedulers there are. By the clock alone it could be [`TOLD`] less [`CALL`],
+/// half a second shorter; but 100 schedulers with nothing heard then make more calls than such a discovery serves.
+///
+/// [`TOLD`]: super::clock::TOLD
+/// [`CALL`]: super::clock::CALL
 const LONGEST: Duration = Duration::from_millis(3500);
 
 /// The waits of one scheduler.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Pace {
     seed: u64,
     /// Schedulers in units of a few.
@@ -43,7 +46,25 @@
 
     /// How long to wait at the start: all may have been started at once. Among few, not at all.
     pub fn start(&mut self) -> Duration {
-        self.draw(TURN.mul_f64(self.share - 1.0).min(LATEST_START))
+        self.turn(LATEST_START)
+    }
+
+    /// How long to wait where all may have to ask at once, up to `most`. Among few, not at all.
+    pub fn turn(&mut self, most: Duration) -> Duration {
+        self.draw((self.fleet() - TURN).min(most))
+    }
+
+    /// How long discovery needs for a call of each scheduler.
+    pub fn fleet(&self) -> Duration {
+        TURN.mul_f64(self.share)
+    }
+
+    /// The same scheduler's, with waits that begin anew.
+    #[must_use]
+    pub fn anew(&self) -> Self {
+        let mut pace = self.clone();
+        pace.heard();
+        pace
     }
 
     /// How long to wait before the next try; longer with each.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -140,6 +140,7 @@
             ask_for_list: o.one_of("membership_mode", &ask, d.ask_for_list)?,
             live_weights: o.get("weights", String::new())? == "live",
             ask_within_s: o.number("contract.ask_within_s", d.ask_within_s)?,
+            drain_grace_s: o.number("contract.drain_grace_s", d.drain_grace_s)?,
             cold_share: o.number("contract.cold_share", d.cold_share)?,
             warm_within_s: o.number("contract.warm_within_s", d.warm_within_s)?,
             fall_multiple: o.number("contract.fall_multiple", d.fall_multiple)?,
