Deal cold boxes' budgets in turns, and copy no job where crowds cannot be told

Checked: with parts of a budget among 300 all but three schedulers had none, and those that had one saw too little traffic to use it (src/shares.rs); what is not heard of there waits in a crowd that nothing tells (no reports, no live weights, no questions), so redirect() in src/rules.rs added to it. Change: where parts reach under a third of the schedulers, time is cut into turns in each of which some, drawn anew, send one job; a job that has not started stays where no news could tell trouble from a crowd.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,6 +30,7 @@
 const ASK_AGAIN: f64 = 0.025; // a held job asks others after this, then after ever longer
 const OFFER: f64 = 0.05; // a slot said to be free is taken for free this long
 const ANSWER: f64 = 0.02; // an answer to a question takes no longer, if it did not wait for a slot
+const TURNS: f64 = 0.9; // of a cold budget that is dealt out in turns: chance strays upwards as well
 const MOST_AHEAD: f64 = 1.1; // ln: one run makes a cold worker three times as fast, or slow, at the most
 const MOST_SUSPECT: f64 = 0.6; // with more of the fleet suspect, lateness alone is no verdict
 
@@ -250,14 +251,22 @@
             return true;
         }
         // Fall-back: this dispatcher's part of what the cold worker can take from the start of such a window.
-        let Some(part) = self.cold_part(w) else { return false };
-        let sent = w.cold_sends.since(self.now - self.s.overload_for_s);
+        let (window, work) = (self.s.overload_for_s, self.cold_work(job.req.class, job.work));
         let speed = self.kind_ratio(w.info.kind).exp().max(self.ratio(w, 2));
         let seen = w.warming.or(self.now, RECENT, TRUST, 0.0).exp(); // what it has shown since its start
         let capacity = (self.warmth(w, 0.0) * seen).min(1.0) * self.farm.slots_of(w).max(1.0) / speed;
+        let budget = self.s.fall_multiple * capacity * window;
+        let (from, part) = if shares::suffice(self.s.dispatchers) {
+            let Some(part) = self.cold_part(w) else { return false };
+            (self.now - window, part * budget)
+        } else {
+            let number = ((self.now - w.info.since).max(0.0) / window.max(1e-3)).floor();
+            let (me, all, salt) = (self.s.index, self.s.dispatchers, w.info.since.to_bits() ^ w.info.tag);
+            let jobs = shares::turn(me, all, TURNS * budget / work, salt, number as u64);
+            (w.info.since + number * window, jobs * work)
+        };
         // To the nearest whole job: parts are as often too large for their last job as too small.
-        sent + 0.5 * self.cold_work(job.req.class, job.work)
-            <= self.s.fall_multiple * capacity * self.s.overload_for_s * part
+        w.cold_sends.since(from) + 0.5 * work <= part
     }
 
     fn cold_sent(&mut self, id: WorkerId, work: f64) {
@@ -294,7 +303,16 @@
     /// Whether own traffic tells which workers are free: that of a dispatcher for every two workers does. A
     /// question costs the worker work, and the answer time.
     pub(crate) fn sees(&self) -> bool {
-        self.s.dispatchers <= FEW.max(self.farm.ring.len() / 2) || !self.s.probes
+        self.is_few() || !self.s.probes
+    }
+
+    /// Whether a crowd at a worker can be told from trouble there: by enough own traffic, by questions, by news.
+    fn tells_crowds(&self) -> bool {
+        self.is_few() || self.s.probes || self.s.live_weights || !self.s.report.is_empty()
+    }
+
+    fn is_few(&self) -> bool {
+        self.s.dispatchers <= FEW.max(self.farm.ring.len() / 2)
     }
 
     fn blind(&self) -> bool {
@@ -488,7 +506,8 @@
         let once = self.s.classes[job.req.class].effect == Effect::Once;
         let room = |w: &Worker| w.suspect.is_none() && self.free(w) >= 1.0 && self.may_repeat(job, w);
         let crowded = self.s.second_copies && !self.farm.ring.iter().any(|id| room(&self.farm.workers[id]));
-        if spent || job.ended || once || crowded || self.full_load() {
+        let crowd = crowded || job.attempts[attempt].start.is_none() && !self.tells_crowds();
+        if spent || job.ended || once || crowd || self.full_load() {
             return;
         }
         self.jobs.give_up(id, attempt);
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -8,6 +8,11 @@
 //!
 //! The budget of a worker that warms up grows. Its parts then grow in number as well as in size: those who
 //! have one keep it, so that no window of time sees two sets of holders.
+//!
+//! Where parts leave most dispatchers without one, those that have one see too little traffic to use it: with 300
+//! schedulers new workers stood idle until they were warm. There time is cut into turns instead, and in each some
+//! dispatchers, drawn anew, may send one job. How many may is right on average and strays by no more than chance
+//! does; nothing is remembered, so who has just restarted keeps to it too.
 
 use crate::state::chance;
 
@@ -25,6 +30,20 @@
     (rank(index, total, salt) < parts).then_some(1.0 / parts as f64)
 }
 
+/// Whether parts reach dispatchers enough, of `total`: one in three at the least.
+pub fn suffice(total: usize) -> bool {
+    total <= 3 * PARTS
+}
+
+/// The whole jobs that dispatcher `index` of `total` may send in the turn of this number, where all together may
+/// send `jobs` in each. `salt` is as for [`part`].
+pub fn turn(index: usize, total: usize, jobs: f64, salt: u64, number: u64) -> f64 {
+    let each = jobs.max(0.0) / total.max(1) as f64;
+    let who = (index as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15)
+        ^ (number + 1).wrapping_mul(0xD1B5_4A32_D192_ED03);
+    each.floor() + f64::from(u8::from(chance(salt ^ who) <= each.fract()))
+}
+
 /// The place of a dispatcher in an order of all of them, another order for each salt.
 fn rank(index: usize, total: usize, salt: u64) -> usize {
     let first = (chance(salt) * total as f64) as usize;
@@ -69,6 +88,29 @@
         }
     }
 
+    /// Falls are counted from a budget of N on at N + 3 root N + 3 jobs.
+    #[test]
+    fn turns_come_to_the_budget_on_average_and_stray_as_chance_does() {
+        for (total, jobs) in [(10, 4.0), (40, 3.0), (300, 8.5), (300, 0.7), (1000, 30.0), (10, 25.0)] {
+            let in_turn =
+                |number| -> f64 { (0..total).map(|index| turn(index, total, jobs, 77, number)).sum() };
+            let all: Vec<f64> = (0..400).map(in_turn).collect();
+            let mean = all.iter().sum::<f64>() / 400.0;
+            assert!((mean - jobs).abs() < 0.15 * jobs.sqrt().max(1.0), "{mean} of {jobs} among {total}");
+            let most = all.iter().copied().fold(0.0, f64::max);
+            assert!(most <= jobs + 3.0 * jobs.sqrt() + 3.0, "{most} of {jobs} among {total}");
+        }
+    }
+
+    #[test]
+    fn turns_reach_all_dispatchers_and_a_larger_budget_takes_none_away() {
+        let had = |index| (0..2000).filter(|number| turn(index, 100, 4.0, 5, *number) > 0.0).count();
+        assert!((0..100).all(|index| (40..130).contains(&had(index))));
+        for number in 0..200 {
+            assert!((0..100).all(|i| turn(i, 100, 4.0, 5, number) <= turn(i, 100, 9.0, 5, number)));
+        }
+    }
+
     #[test]
     fn several_budgets_fall_to_different_dispatchers() {
         let with = |salt| (0..100).filter(move |&index| part(index, 100, 1.0, salt).is_some());
