--- a/src/estimates.rs
+++ b/src/estimates.rs
@@ -98,8 +98,9 @@
     }
 
     /// A run on a worker that warms up tells its speed in the middle of it, against the least it can have.
-    pub(crate) fn warmed(&mut self, id: WorkerId, took_s: f64, value: f64) {
+    pub(crate) fn warmed(&mut self, id: WorkerId, took_s: f64, work: f64) {
         let Some(w) = self.farm.workers.get(&id) else { return };
+        let value = (took_s.max(1e-4) / work).ln();
         let ahead = self.kind_ratio(w.info.kind) - value - self.warmth(w, took_s / 2.0).ln();
         let ahead = ahead.clamp(-MOST_AHEAD, MOST_AHEAD);
         self.seen.warming.add(self.now, RECENT, ahead, 1.0);
@@ -167,6 +168,13 @@
         (self.offers.len() as f64 / kept.max(1) as f64 - 1.0).max(1.0)
     }
 
+    /// This dispatcher's part of a cold worker's budget, if it has one now.
+    pub(crate) fn cold_part(&self, w: &Worker) -> Option<f64> {
+        let grown = self.warmth(w, self.s.overload_for_s) / self.warmth(w, f64::INFINITY);
+        let salt = w.info.since.to_bits() ^ u64::from(w.info.cell);
+        shares::part(self.s.index, self.s.dispatchers, grown, salt)
+    }
+
     /// How many jobs of this work are dealt in a turn of a cold worker's budget. Falls are counted in usual jobs.
     pub(crate) fn dealt(&self, budget: f64, work: f64) -> f64 {
         let usual = self.seen.usual.or(self.now, KIND_RECENT, 1.0, work);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -273,13 +273,6 @@
         self.farm.workers.get_mut(&id).into_iter().for_each(|w| w.cold_sends.add(from, now, work));
     }
 
-    /// This dispatcher's part of a cold worker's budget, if it has one now.
-    fn cold_part(&self, w: &Worker) -> Option<f64> {
-        let grown = self.warmth(w, self.s.overload_for_s) / self.warmth(w, f64::INFINITY);
-        let salt = w.info.since.to_bits() ^ u64::from(w.info.cell);
-        shares::part(self.s.index, self.s.dispatchers, grown, salt)
-    }
-
     /// Whether `w` may be sent the job though earlier attempts may have run: no effect twice.
     fn may_repeat(&self, job: &Job, w: &Worker) -> bool {
         let class = &self.s.classes[job.req.class];
@@ -292,6 +285,14 @@
         }
     }
 
+    /// Whether no attempt is out and none may follow, whatever workers there will be.
+    fn is_spent(&self, job: &Job) -> bool {
+        let (class, may_have_run) =
+            (&self.s.classes[job.req.class], job.attempts.iter().any(|a| a.may_have_run));
+        let spent = job.attempts.len() >= self.s.max_attempts || class.effect == Effect::Once && may_have_run;
+        spent && !job.attempts.iter().any(|a| a.out)
+    }
+
     fn may_refuse(&self, job: &Job) -> bool {
         let class = &self.s.classes[job.req.class];
         class.effect == Effect::Repeatable
@@ -366,9 +367,8 @@
         let in_time = f64::from(u8::from(self.now <= job.since + job.aim));
         if let Some(w) = self.farm.workers.get_mut(&worker) {
             w.give_back(&job.req, start.is_some());
-            if start.is_none() && e.outcome == Outcome::Cancelled {
-                self.seen.waits.add(self.now, SOON, waited, 1.0); // in vain
-            }
+            let vain = start.is_none() && e.outcome == Outcome::Cancelled;
+            self.seen.waits.add(self.now, SOON, waited, f64::from(u8::from(vain)));
             match e.outcome {
                 Outcome::Full => w.full_until = self.now + OFFER.max(w.slots.total * SWEEP),
                 Outcome::Ok => w.stability += 0.1 * (in_time - w.stability),
@@ -385,11 +385,8 @@
         if e.outcome == Outcome::Ok {
             // A cold worker's run teaches nothing: it would make the budget of all cold ones too large.
             let warm = self.farm.workers.get(&worker).is_some_and(|w| self.warmth(w, 0.0) >= 1.0);
-            if let Some(start) = start {
-                let value = ((self.now - start).max(1e-4) / work).ln();
-                if !warm {
-                    self.warmed(worker, self.now - start, value);
-                }
+            if let Some(start) = start.filter(|_| !warm) {
+                self.warmed(worker, self.now - start, work);
             }
             if let Some(start) = start.filter(|_| warm) {
                 let value = ((self.now - start).max(1e-4) / work).ln();
@@ -405,8 +402,11 @@
                 (w.heard, w.broke, w.proven, w.backoff) = (self.now, 0, w.proven + 1.0, 0.0);
             }
         }
-        if e.closed || self.jobs.all.get(&e.request).is_some_and(|j| j.ended) {
+        let job = self.jobs.all.get(&e.request);
+        if e.closed || job.is_some_and(|j| j.ended) {
             self.close(e.request, out);
+        } else if job.is_some_and(|j| self.is_spent(j)) {
+            self.end(e.request, out); // whoever asked had better know now
         } else {
             self.jobs.hold(e.request);
         }
