--- a/crates/agreement/src/holder.rs
+++ b/crates/agreement/src/holder.rs
@@ -1,26 +1,13 @@
 //! What a process may act on at each moment.
 
-use serde::{Deserialize, Serialize};
-
 use crate::document::Value;
+use crate::message::{Confirmation, Message};
 use crate::register::Ballot;
-use crate::voter::Message;
 use crate::{Config, MemberId, Time};
 
 /// Older values that are kept to at the same time; with more changes than that in a row, the oldest go together.
 const OLDER: usize = 8;
 
-/// A voter's word that a value held at a moment after the question.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Confirmation {
-    /// The question's.
-    pub number: u64,
-    /// Of the attempt that chose it; none if nothing was ever chosen.
-    pub ballot: Option<Ballot>,
-    /// The value, if it may be another than the holder knows.
-    pub news: Option<Value>,
-}
-
 /// What a process acts on. It is to be asked for anew before each act: a process that was halted learns by it that its
 /// term is over before it does anything.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod document;
 mod holder;
+mod message;
 mod register;
 mod rules;
 mod voter;
@@ -21,10 +22,11 @@
 use serde::{Deserialize, Serialize};
 
 pub use document::{Change, Command, Digest, Document, Electorate, Proposal, Refusal, Value};
-pub use holder::{Confirmation, Holder, Stance};
+pub use holder::{Holder, Stance};
+pub use message::{Confirmation, Message, Stage};
 pub use register::{Acceptor, Ballot, Promise, Round, Vote};
 pub use rules::Rules;
-pub use voter::{Durable, Message, Output, Stage, Verdict, Voter};
+pub use voter::{Durable, Output, Verdict, Voter};
 
 /// Time on a process's own monotonic clock.
 pub type Time = Duration;
--- a/src/estimates.rs
+++ b/src/estimates.rs
@@ -3,6 +3,7 @@
 
 use crate::api::*;
 use crate::level;
+use crate::mean::Mean;
 use crate::notes;
 use crate::rules::Dispatcher;
 use crate::shares;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,11 @@
 mod cold;
 pub mod config;
 
+mod chance;
 mod estimates;
 mod level;
 pub mod listing;
+mod mean;
 pub mod net;
 mod notes;
 mod objects;
--- a/src/notes.rs
+++ b/src/notes.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Buf, BufMut};
 
-use crate::state::chance;
+use crate::chance::chance;
 
 /// The longest note, in bytes.
 pub(crate) const MOST_BYTES: usize = 256;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,11 +1,11 @@
 //! All decisions and the estimates behind them. Read `src/api.rs` first, and `docs/design.md` for the why.
 
 use crate::api::*;
+use crate::chance::{chance, spread};
 use crate::estimates::*;
-use crate::notes::{self, Notes};
 use crate::objects::{self, Objects};
-use crate::shares;
 use crate::state::*;
+use crate::{notes, notes::Notes, shares};
 
 // Constants that no setting or observation supplies. Times in seconds unless said otherwise.
 const ROUND_PER_AIM: f64 = 0.06; // a round is short against the tightest aim
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,7 @@
 
 use crate::api::*;
 use crate::cold::Sends;
+use crate::mean::Mean;
 use crate::objects::{Objects, Place};
 
 /// Weights are rounded: a load under this is none.
@@ -25,37 +26,6 @@
 /// Plus the request id.
 pub(crate) const DEADLINE: u64 = 1 << 32;
 
-/// A sum and its weight, as they were at a time; they fade from then on.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Mean {
-    pub sum: f64,
-    pub weight: f64,
-    pub at: f64,
-}
-
-impl Mean {
-    fn keep(&self, now: f64, recent: f64) -> f64 {
-        (-(now - self.at).max(0.0) / recent).exp()
-    }
-
-    pub(crate) fn add(&mut self, now: f64, recent: f64, value: f64, weight: f64) {
-        let keep = self.keep(now, recent);
-        (self.sum, self.weight, self.at) =
-            (self.sum * keep + value * weight, self.weight * keep + weight, now);
-    }
-
-    /// What is left of its weight.
-    pub(crate) fn left(&self, now: f64, recent: f64) -> f64 {
-        self.weight * self.keep(now, recent)
-    }
-
-    /// The mean, leaning on `fallback` as on `trust` values while there is little to go by.
-    pub(crate) fn or(&self, now: f64, recent: f64, trust: f64, fallback: f64) -> f64 {
-        let keep = self.keep(now, recent);
-        (self.sum * keep + trust * fallback) / (self.weight * keep + trust)
-    }
-}
-
 /// What a dispatcher has seen of its traffic; all of it fades but the last.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Seen {
@@ -603,15 +573,17 @@
     fit.iter().min_by(|a, b| a.score.total_cmp(&b.score)).map(|f| f.id)
 }
 
-/// A number that differs between dispatchers for the same worker.
-pub(crate) fn spread(seed: u64, id: WorkerId) -> u64 {
-    (seed ^ id.0).wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(32).wrapping_mul(0x9E37_79B9_7F4A_7C15)
-}
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::objects::keep;
 
-/// A number above 0 and up to 1, as good as random, from any other (the finalizer of SplitMix64).
-pub(crate) fn chance(number: u64) -> f64 {
-    let number = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    let number = (number ^ (number >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    let number = number ^ (number >> 31);
-    ((number >> 11) + 1) as f64 / (1u64 << 53) as f64
+    #[test]
+    fn a_restarted_worker_keeps_nothing_of_before() {
+        let mut w = Worker::unknown();
+        (1..20).for_each(|object| keep(&mut w.near, object));
+        let before = Objects::default().place(19, 7, &w.near);
+        let after = Objects::default().place(19, 7, &w.restarted().near);
+        assert_eq!((before, after), (Place::Near(0), Place::Far));
+    }
 }
