Raise the form of an upgrade's frames: what is learnt has new fields

Seen on reading the change: Worker, Seen and so Learnt have new fields (sent, waits, warming, usual), but FORM in src/net/lifecycle/link.rs was still 1, so a process of the earlier build would have read these frames wrongly. Change: FORM is 2; builds of other forms then take over by the frames that last.

--- a/src/net/lifecycle/link.rs
+++ b/src/net/lifecycle/link.rs
@@ -30,7 +30,7 @@
 /// The form of the frames that do not last, one more with each change of any of them. Two builds of other forms
 /// tell each other the frames that last, which is enough to take over: the old process then closes idle
 /// connections instead of passing them on, and finishes its jobs itself.
-const FORM: u8 = 1;
+const FORM: u8 = 2;
 /// Frames before this one in [`Frame`] last: their bytes stay as they are for good.
 const LASTING: u8 = 5;
 
