--- a/src/estimates.rs
+++ b/src/estimates.rs
@@ -129,9 +129,9 @@
 
     fn learnt_of_others(&self, w: &Worker) -> f64 {
         // Where crowds are unseen, most are met at warm workers: they tell nothing of those that warm up, to which
-        // only some may send in each turn.
-        let turns = !self.tells_crowds() && !shares::suffice(self.s.dispatchers);
-        let others = self.s.dispatchers > 1 && !(turns && self.warmth(w, 0.0) < 1.0);
+        // only some may send in each interval.
+        let few_may = !self.tells_crowds() && !shares::suffice(self.s.dispatchers);
+        let others = self.s.dispatchers > 1 && !(few_may && self.warmth(w, 0.0) < 1.0);
         let usual = f64::from(u8::from(others))
             * self.seen.busy.or(self.now, SOON, TRUST, 0.5)
             * self.farm.slots_of(w);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod rules;
 pub mod settings;
 pub mod shares;
-mod slow_start;
+pub mod slow_start;
 mod state;
 pub mod wire;
 
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -8,11 +8,12 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 use arrivals::Arrivals;
 
@@ -23,6 +24,8 @@
 pub const BODY_BYTES: usize = 64 * 1024;
 /// The longest line that frames a chunk, its extensions included.
 const CHUNK_LINE_BYTES: usize = 256;
+/// How often to look for a close behind bytes that are left unread: no attempt may begin 0.1 s after it.
+const LOOK_FOR_CLOSE: Duration = Duration::from_millis(25);
 /// Room asked for at a time.
 const READ_BYTES: usize = 4096;
 
@@ -265,9 +268,9 @@
                 return;
             }
         }
+        // The bytes stay where they are, so that the system goes on saying that there are some: looked at now and then.
         while self.stream.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
-            // The bytes stay where they are: the next event, of more bytes or of the end, is what is waited for.
-            let _ = self.stream.try_io(Interest::READABLE, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+            sleep(LOOK_FOR_CLOSE).await;
         }
     }
 
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -10,7 +10,7 @@
 //! have one keep it, so that no window of time sees two sets of holders.
 //!
 //! Where parts leave most dispatchers without one, those that have one see too little traffic to use it: with 300
-//! schedulers new workers stood idle until they were warm. There time is cut into turns instead, and in each some
+//! schedulers new workers stood idle until they were warm. There time is cut into intervals instead, and in each some
 //! dispatchers, drawn anew, may send one job. How many may is right on average and strays by no more than chance
 //! does; nothing is remembered, so who has just restarted keeps to it too.
 
@@ -18,9 +18,9 @@
 
 /// Of what a cold worker stands, a tenth is kept for what is not known of its size.
 const MARGIN: f64 = 0.9;
-/// Natural logarithm of the odds against a fall in one turn in which all that was dealt is used: 1 in 10,000 at the
+/// Natural logarithm of the odds against a fall in one interval in which all that was granted is used: 1 in 10,000 at the
 /// most (Chernoff's bound of a Poisson number, which is some ten times too high). Work that differs from job to job
-/// makes them worse, what is dealt and not used makes them better by more.
+/// makes them worse, what is granted and not used makes them better by more.
 const LN_ODDS: f64 = 9.21;
 
 /// The requests of mean work at which a cold worker falls, where the settings allow it `n` (the operators' standing
@@ -48,17 +48,17 @@
     total <= 3 * PARTS
 }
 
-/// How many usual jobs may be dealt on average in each turn, where `n` are allowed: the largest mean m for which the
+/// How many usual jobs may be granted on average in each interval, where `n` are allowed: the largest mean m for which the
 /// number reaches x, a tenth below [`fall`], with no more than the odds. That is m - x + x ln(x / m) = [`LN_ODDS`],
 /// found from below.
-pub fn dealt(n: f64) -> f64 {
+pub fn mean_grants(n: f64) -> f64 {
     let most = MARGIN * fall(n);
     (0..8).fold(0.0, |mean, _| most * ((mean - LN_ODDS) / most - 1.0).exp())
 }
 
-/// The whole jobs that dispatcher `index` of `total` may send in the turn of this number, where all together may
+/// The whole jobs that dispatcher `index` of `total` may send in the interval of this number, where all together may
 /// send `jobs` in each. `salt` is as for [`part`].
-pub fn turn(index: usize, total: usize, jobs: f64, salt: u64, number: u64) -> f64 {
+pub fn granted(index: usize, total: usize, jobs: f64, salt: u64, number: u64) -> f64 {
     let each = jobs.max(0.0) / total.max(1) as f64;
     let who = (index as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15)
         ^ (number + 1).wrapping_mul(0xD1B5_4A32_D192_ED03);
@@ -110,11 +110,11 @@
     }
 
     #[test]
-    fn turns_come_to_the_budget_on_average_and_stray_as_chance_does() {
+    fn grants_come_to_the_budget_on_average_and_stray_as_chance_does() {
         for (total, jobs) in [(10, 4.0), (40, 3.0), (300, 8.5), (300, 0.7), (1000, 30.0), (10, 25.0)] {
-            let in_turn =
-                |number| -> f64 { (0..total).map(|index| turn(index, total, jobs, 77, number)).sum() };
-            let all: Vec<f64> = (0..400).map(in_turn).collect();
+            let in_interval =
+                |number| -> f64 { (0..total).map(|index| granted(index, total, jobs, 77, number)).sum() };
+            let all: Vec<f64> = (0..400).map(in_interval).collect();
             let mean = all.iter().sum::<f64>() / 400.0;
             assert!((mean - jobs).abs() < 0.15 * jobs.sqrt().max(1.0), "{mean} of {jobs} among {total}");
             let most = all.iter().copied().fold(0.0, f64::max);
@@ -123,22 +123,23 @@
     }
 
     #[test]
-    fn what_is_dealt_never_comes_near_the_fall_in_a_thousand_turns() {
+    fn what_is_granted_never_comes_near_the_fall_in_a_thousand_intervals() {
         for (total, n) in [(10, 4.0), (32, 1.0), (32, 7.7), (40, 15.0), (300, 30.0), (300, 0.4), (1000, 90.0)]
         {
-            let sum =
-                |number| -> f64 { (0..total).map(|index| turn(index, total, dealt(n), 9, number)).sum() };
+            let sum = |number| -> f64 {
+                (0..total).map(|index| granted(index, total, mean_grants(n), 9, number)).sum()
+            };
             let most = (0..1000).map(sum).fold(0.0, f64::max);
             assert!(most <= 0.9 * fall(n), "{most} of {} among {total}", fall(n));
         }
     }
 
     #[test]
-    fn turns_reach_all_dispatchers_and_a_larger_budget_takes_none_away() {
-        let had = |index| (0..2000).filter(|number| turn(index, 100, 4.0, 5, *number) > 0.0).count();
+    fn grants_reach_all_dispatchers_and_a_larger_budget_takes_none_away() {
+        let had = |index| (0..2000).filter(|number| granted(index, 100, 4.0, 5, *number) > 0.0).count();
         assert!((0..100).all(|index| (40..130).contains(&had(index))));
         for number in 0..200 {
-            assert!((0..100).all(|i| turn(i, 100, 4.0, 5, number) <= turn(i, 100, 9.0, 5, number)));
+            assert!((0..100).all(|i| granted(i, 100, 4.0, 5, number) <= granted(i, 100, 9.0, 5, number)));
         }
     }
 
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -4,14 +4,16 @@
 //! settings name. N is what the settings allow it at its age; that it has shown more does not count. Nobody sees the
 //! sum, so each scheduler keeps to an [`Allowance`] of its own, worked out from settings, list and its own index.
 //!
-//! With few schedulers each has a fixed part of the budget (`src/shares.rs`). With many, time is cut into turns as
-//! long as the window; in each turn chance names the schedulers that may send, and the expected sum is
-//! [`shares::dealt`]. Three things kept that sum from being what it was meant to be, and felled workers on 1 in 10
-//! short days with 32 schedulers:
-//! - Turns were dealt in jobs of the class at hand, so small classes named more schedulers than large ones, and those
-//!   named for either sent: up to four times the budget. Now a turn is worth a usual job, whatever the class.
+//! With few schedulers each has a fixed share of the budget (`src/shares.rs`). With many, time is cut into intervals as
+//! long as the window; in each interval chance grants some schedulers a job, and the expected sum is
+//! [`shares::mean_grants`]. Three things kept that sum from being what it was meant to be, and felled workers on 1 in
+//! 10 short days with 32 schedulers:
+//! - Grants were counted in jobs of the class at hand, so small classes were granted to more schedulers than large
+//!   ones, and the holders of either sent: up to four times the budget. Now a grant is worth a usual job, whatever the
+//!   class.
 //! - What a worker had shown since its start raised its N.
-//! - All turns began at the same moment, so that two of them met in one window. Now each scheduler has its own phase.
+//! - All intervals began at the same moment, so that two of them met in one window. Now each scheduler has its own
+//!   phase.
 
 use crate::api::Settings;
 use crate::chance::chance;
@@ -31,13 +33,13 @@
     /// no part of the worker's budget.
     pub(crate) fn slow_start(&self, w: &Worker, work: f64) -> Option<Allowance> {
         if shares::suffice(self.s.dispatchers) {
-            self.fixed_part(w, work)
+            self.fixed_share(w, work)
         } else {
-            Some(self.turn(w, work))
+            Some(self.granted(w, work))
         }
     }
 
-    fn fixed_part(&self, w: &Worker, work: f64) -> Option<Allowance> {
+    fn fixed_share(&self, w: &Worker, work: f64) -> Option<Allowance> {
         let shown = w.warming.or(self.now, RECENT, TRUST, 0.0).exp();
         let warmth = (self.warmth(w, 0.0) * shown).min(1.0);
         let part = self.cold_part(w)? * self.budget(w, warmth);
@@ -45,14 +47,15 @@
         Some(Allowance { from: self.now - self.s.overload_for_s, work: part + 0.5 * work })
     }
 
-    fn turn(&self, w: &Worker, work: f64) -> Allowance {
+    fn granted(&self, w: &Worker, work: f64) -> Allowance {
         let usual = self.seen.usual.or(self.now, KIND_RECENT, 1.0, work);
-        let jobs = shares::dealt(self.allowed(w, usual));
+        let jobs = shares::mean_grants(self.allowed(w, usual));
         let worth = work.max(usual);
         let salt = w.info.since.to_bits() ^ w.info.tag;
-        let turn = Turn::at(self.now - w.info.since, salt, &self.s);
-        let mine = shares::turn(self.s.index, self.s.dispatchers, jobs * usual / worth, salt, turn.number);
-        Allowance { from: w.info.since + turn.began, work: mine * worth }
+        let interval = Interval::at(self.now - w.info.since, salt, &self.s);
+        let mine =
+            shares::granted(self.s.index, self.s.dispatchers, jobs * usual / worth, salt, interval.number);
+        Allowance { from: w.info.since + interval.began, work: mine * worth }
     }
 
     /// The requests of mean work that the worker may get within a window by the settings: as its size and the `usual`
@@ -80,20 +83,23 @@
     }
 }
 
-/// One of a scheduler's turns at a worker.
+/// One of the intervals in which a scheduler may use what it is granted at a worker.
 #[derive(Debug, PartialEq)]
-struct Turn {
-    number: u64,
+pub struct Interval {
+    /// Counted from the worker's start.
+    pub number: u64,
     /// When it began, in seconds after the worker's start; below 0 for the first.
-    began: f64,
+    pub began: f64,
 }
 
-impl Turn {
-    fn at(age_s: f64, salt: u64, settings: &Settings) -> Self {
+impl Interval {
+    /// The interval of the scheduler of these settings in which a worker of this age is. `salt` is the same for all
+    /// schedulers and another one for each worker.
+    pub fn at(age_s: f64, salt: u64, settings: &Settings) -> Self {
         let length_s = settings.overload_for_s.max(1e-3);
         let phase = chance(salt ^ (settings.index as u64 + 1).wrapping_mul(0xA24B_AED4_963E_E407));
         let number = (age_s.max(0.0) / length_s + phase).floor();
-        Turn { number: number as u64, began: (number - phase) * length_s }
+        Interval { number: number as u64, began: (number - phase) * length_s }
     }
 }
 
--- a/src/slow_start/tests.rs
+++ b/src/slow_start/tests.rs
@@ -5,27 +5,33 @@
 }
 
 #[test]
-fn a_turn_lasts_as_long_as_the_window_and_covers_the_moment() {
+fn an_interval_lasts_as_long_as_the_window_and_covers_the_moment() {
     for index in 0..50 {
-        let mut last = Turn::at(0.0, 7, &settings(index));
+        let mut last = Interval::at(0.0, 7, &settings(index));
         for tenths in 0..300 {
             let age_s = f64::from(tenths) / 10.0;
-            let turn = Turn::at(age_s, 7, &settings(index));
-            assert!(turn.began <= age_s + 1e-9 && age_s < turn.began + 3.0 + 1e-9, "{turn:?} at {age_s}");
-            assert!(turn.number == last.number && turn.began == last.began || turn.number == last.number + 1);
-            last = turn;
+            let interval = Interval::at(age_s, 7, &settings(index));
+            assert!(
+                interval.began <= age_s + 1e-9 && age_s < interval.began + 3.0 + 1e-9,
+                "{interval:?} at {age_s}"
+            );
+            assert!(
+                interval.number == last.number && interval.began == last.began
+                    || interval.number == last.number + 1
+            );
+            last = interval;
         }
-        assert!((9..=10).contains(&last.number), "ten turns in thirty seconds: {last:?}");
+        assert!((9..=10).contains(&last.number), "ten intervals in thirty seconds: {last:?}");
     }
 }
 
-/// When all turns began at the same moment, a window met the end of one and the beginning of the next.
+/// When all intervals began at the same moment, a window met the end of one and the beginning of the next.
 #[test]
-fn the_turns_of_many_schedulers_begin_at_all_times() {
+fn the_intervals_of_many_schedulers_begin_at_all_times() {
     let mut begin = [0; 10];
     for index in 0..1000 {
-        let turn = Turn::at(9.0, 7, &settings(index));
-        begin[(((turn.began / 3.0).rem_euclid(1.0)) * 10.0) as usize % 10] += 1;
+        let interval = Interval::at(9.0, 7, &settings(index));
+        begin[(((interval.began / 3.0).rem_euclid(1.0)) * 10.0) as usize % 10] += 1;
     }
     assert!(begin.iter().all(|&n| (60..150).contains(&n)), "{begin:?}");
 }
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -6,6 +6,7 @@
 
 use chutesaddle::api::*;
 use chutesaddle::shares;
+use chutesaddle::slow_start::Interval;
 use chutesaddle::Dispatcher;
 use common::*;
 
@@ -111,14 +112,18 @@
                         let part = part.expect("only who has a part sends");
                         assert!(sum <= whole * part, "a cold worker is pushed over");
                     } else {
-                        // Turns come to the whole by their number: in each, a dispatcher sends its whole jobs and one.
-                        let turn = |at: f64| ((at - info.since) / self.s.overload_for_s).floor();
-                        let here =
-                            sends.iter().filter(|s| s.0 >= info.since && turn(s.0) == turn(now)).count();
+                        // Grants come to the whole by their number: in each of its intervals, a dispatcher sends its
+                        // whole jobs and one.
+                        let salt = info.since.to_bits() ^ info.tag;
+                        let interval = |at: f64| Interval::at(at - info.since, salt, &self.s).number;
+                        let here = sends
+                            .iter()
+                            .filter(|s| s.0 >= info.since && interval(s.0) == interval(now))
+                            .count();
                         let most = whole / 0.3 / self.s.dispatchers as f64 + 1.0;
                         assert!(
                             here as f64 <= most,
-                            "{here} sent to a cold worker in one turn, {most} at most"
+                            "{here} sent to a cold worker in one interval, {most} at most"
                         );
                     }
                 }
