Review case 3: a burst between two sites runs jobs at both and mixes their bodies

Cause: a site link whose queue is full is reported as down first, so that the offers not yet written go back to the local scheduler; then the whole queue is written to the peer before the last frame, and the peer runs them too. A frame written in part is not completed, and the next one's bytes fill it up.

The fault is not fixed.

--- a/review/standin/callbacks.rs
+++ b/review/standin/callbacks.rs
@@ -39,8 +39,12 @@
                 while let Ok(Some(call)) = read_message(&mut caller) {
                     let body = call.text();
                     let Ok(mut stream) = connect(scheduler) else { return };
-                    let head = format!("POST /callback HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n", body.len());
-                    let answer = exchange(&mut stream, format!("{head}{body}").as_bytes(), Duration::from_secs(1));
+                    let head = format!(
+                        "POST /callback HTTP/1.1\r\nHost: s\r\nContent-Length: {}\r\n\r\n",
+                        body.len()
+                    );
+                    let answer =
+                        exchange(&mut stream, format!("{head}{body}").as_bytes(), Duration::from_secs(1));
                     let Ok(answer) = answer else { return };
                     let first = {
                         let mut lost = lost.lock().unwrap();
@@ -82,15 +86,24 @@
     fn start(id: &str, record: &Arc<Record>, callbacks: SocketAddr, jobs: &Jobs) -> SocketAddr {
         let listener = listen();
         let address = listener.local_addr().unwrap();
-        let worker =
-            Arc::new(Worker { id: id.to_owned(), callbacks, record: Arc::clone(record), jobs: Arc::clone(jobs) });
+        let worker = Arc::new(Worker {
+            id: id.to_owned(),
+            callbacks,
+            record: Arc::clone(record),
+            jobs: Arc::clone(jobs),
+        });
         spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let worker = Arc::clone(&worker);
                 spawn(move || {
                     let _ = stream.set_nodelay(true);
                     while let Ok(Some(request)) = read_message(&mut stream) {
-                        worker.record.line(format!("worker   {} gets {} {}", worker.id, request.first_line, request.id()));
+                        worker.record.line(format!(
+                            "worker   {} gets {} {}",
+                            worker.id,
+                            request.first_line,
+                            request.id()
+                        ));
                         let status = if request.method() == "DELETE" { "200 OK" } else { "202 Accepted" };
                         let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
                         if stream.write_all(answer.as_bytes()).is_err() {
@@ -114,7 +127,10 @@
             job.attempts += 1;
             if job.running > 0 || job.runs > 0 {
                 job.sent_after_start = true;
-                self.record.line(format!("worker   {id}: attempt {} though an earlier one has started: BROKEN", job.attempts));
+                self.record.line(format!(
+                    "worker   {id}: attempt {} though an earlier one has started: BROKEN",
+                    job.attempts
+                ));
             }
             job.attempts == 1
         };
@@ -159,7 +175,12 @@
     let jobs = Jobs::default();
     let proxy = start_proxy(record, listen, trouble());
     // A small fleet. Only `fast-3` runs publish-map here.
-    let fleet = [("s-0badcafe", "fast-3"), ("s-5be2a07c", "wide-5"), ("s-77aa01d2", "wide-5"), ("s-9c40e1b3", "small-2")];
+    let fleet = [
+        ("s-0badcafe", "fast-3"),
+        ("s-5be2a07c", "wide-5"),
+        ("s-77aa01d2", "wide-5"),
+        ("s-9c40e1b3", "small-2"),
+    ];
     let entry = |&(id, kind): &(&str, &'static str)| {
         let address = Worker::start(id, record, proxy, &jobs);
         Entry { id: id.to_owned(), address, zone: "isb-1", kind, state: "active", started_ms: 0 }
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -73,7 +73,8 @@
 pub fn free_address() -> SocketAddr {
     static TRIED: AtomicU64 = AtomicU64::new(0);
     for _ in 0..1000 {
-        let number = TRIED.fetch_add(1, Ordering::Relaxed) + unix_ms() * 1000 + u64::from(std::process::id());
+        let number =
+            TRIED.fetch_add(1, Ordering::Relaxed) + unix_ms() * 1000 + (u64::from(std::process::id()) << 44);
         let port = 10_000 + (number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) % 20_000;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
         if TcpListener::bind(address).is_ok() {
@@ -132,7 +133,8 @@
     }
     let head = String::from_utf8_lossy(&head).into_owned();
     let mut lines = head.split("\r\n");
-    let mut message = Message { first_line: lines.next().unwrap_or_default().to_owned(), ..Message::default() };
+    let mut message =
+        Message { first_line: lines.next().unwrap_or_default().to_owned(), ..Message::default() };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
             message.headers.insert(name.trim().to_ascii_lowercase(), value.trim().to_owned());
@@ -206,7 +208,10 @@
 pub fn callback(record: &Record, address: SocketAddr, body: &str) {
     for call in 1..=10 {
         let answered = callback_once(address, body, Duration::from_secs(1));
-        record.line(format!("worker   callback {body} call {call}: {}", if answered { "answered" } else { "no answer" }));
+        record.line(format!(
+            "worker   callback {body} call {call}: {}",
+            if answered { "answered" } else { "no answer" }
+        ));
         if answered {
             return;
         }
@@ -226,7 +231,8 @@
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 fn signal_process(id: u32, name: &str) {
-    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).stderr(Stdio::null()).status();
+    let _ =
+        Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).stderr(Stdio::null()).status();
 }
 
 /// Ends the case before its 120 s are over, and all processes that it started.
@@ -465,15 +471,21 @@
                 let (line, version) = {
                     let state = self.state.lock().unwrap();
                     let quiet = |state: &mut AgentState| state.version == sent || state.silent;
-                    let (state, _) = self.changed.wait_timeout_while(state, Duration::from_secs(2), quiet).unwrap();
+                    let (state, _) =
+                        self.changed.wait_timeout_while(state, Duration::from_secs(2), quiet).unwrap();
                     if state.silent {
                         drop(state);
                         self.wait_while_silent();
                         return Ok(()); // the watch of before does not come back
                     }
-                    let news: Vec<Entry> =
-                        state.changes.iter().filter(|(version, _)| *version > sent).map(|(_, entry)| entry.clone()).collect();
-                    let line = if news.is_empty() { String::new() } else { list_json(state.version, false, &news) };
+                    let news: Vec<Entry> = state
+                        .changes
+                        .iter()
+                        .filter(|(version, _)| *version > sent)
+                        .map(|(_, entry)| entry.clone())
+                        .collect();
+                    let line =
+                        if news.is_empty() { String::new() } else { list_json(state.version, false, &news) };
                     (line, state.version)
                 };
                 if !line.is_empty() {
@@ -515,13 +527,19 @@
     fn json(&self) -> String {
         let Settings { grades, class_kind: kind, may_cancel, second_copies, balancers } = self;
         format!(
-            r#"{{"allowed":{{"conn_idle_s":60.0,"connect_timeout_s":0.25,"cpu_us_per_request":0.0,"cpu_us_per_s":15000,"max_retry_after_s":2.0,"may_cancel":{may_cancel},"open_cap":20000,"peer_messages":false,"probes":false,"retry_after":true,"second_copies":{second_copies},"send_cap":3,"streams_per_conn":1}},"areas":["isb-1","lhe-1","pew-1","khi-1"],"balancers":{balancers},"client_habits":{{"marks_retry":false}},"contract":{{"answer_slack_s":0.02,"ask_within_s":10.0,"cold_share":0.13,"drain_grace_s":0.5,"fall_multiple":3.0,"overload_for_s":3.0,"warm_within_s":24.0}},"grades":{grades},"index":0,"kind_of_service":"jobs","kinds":["fast-3","wide-5","small-2"],"membership_mode":"pushed","over_share_worth":0.05,"parties":[{{"name":"barfani-heights","quota_per_s":15.0,"share":0.5}},{{"name":"chinar-slopes","quota_per_s":15.0,"share":0.5}}],"report":{{"fields":["eps","latency_ms","queue","x0"],"how":"answers"}},"specifics":{{"class_kind":[{kind}],"class_priority":[0,1],"class_stretch":[2.5,2.0],"notes":"1_it_has_started__2_share_done","progress_s":1.0,"queue_order":"fifo","report_x0":"free_slots","report_x1":"free_memory","tells_start":true}},"tick_s":0.005,"tier":0,"tiers":["render-boxes"],"weights":"live","worth_by":"work","zone":0}}"#
+            r#"{{"allowed":{{"conn_idle_s":60.0,"connect_timeout_s":0.25,"cpu_us_per_request":0.0,"cpu_us_per_s":15000,"max_retry_after_s":2.0,"may_cancel":{may_cancel},"open_cap":20000,"peer_messages":false,"probes":false,"retry_after":true,"second_copies":{second_copies},"send_cap":3,"streams_per_conn":1}},"areas":["isb-1","lhe-1","pew-1","khi-1"],"balancers":{balancers},"client_habits":{{"marks_retry":false}},"contract":{{"answer_slack_s":0.02,"ask_within_s":10.0,"cold_share":0.13,"drain_grace_s":0.5,"fall_multiple":3.0,"overload_for_s":3.0,"warm_within_s":24.0}},"grades":{grades},"index":0,"kind_of_service":"jobs","kinds":["fast-3","wide-5","small-2"],"membership_mode":"pushed","over_share_worth":0.05,"parties":[{{"name":"barfani-heights","quota_per_s":15.0,"share":0.5}},{{"name":"chinar-slopes","quota_per_s":15.0,"share":0.5}}],"report":{{"fields":["eps","latency_ms","queue","x0"],"how":"answers"}},"specifics":{{"class_kind":[{kind}],"class_priority":[0,1,1],"class_stretch":[2.5,2.0,2.0],"notes":"1_it_has_started__2_share_done","progress_s":1.0,"queue_order":"fifo","report_x0":"free_slots","report_x1":"free_memory","tells_start":true}},"tick_s":0.005,"tier":0,"tiers":["render-boxes"],"weights":"live","worth_by":"work","zone":0}}"#
         )
     }
 }
 
 /// The configuration file of a scheduler. `known` is a list in discovery's form.
-pub fn config(listen: SocketAddr, ops: SocketAddr, discovery: SocketAddr, known: &str, settings: &Settings) -> String {
+pub fn config(
+    listen: SocketAddr,
+    ops: SocketAddr,
+    discovery: SocketAddr,
+    known: &str,
+    settings: &Settings,
+) -> String {
     let seed = format!("{:016x}", unix_ms().wrapping_mul(0x9E37_79B9_7F4A_7C15));
     format!(
         r#"{{"name":"n1","listen":"{listen}","ops":"{ops}","discovery":"{discovery}","seed":"{seed}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{}}}"#,
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 
 mod callbacks;
 mod common;
+mod sites;
 mod upgrade;
 mod worker;
 
@@ -13,6 +14,7 @@
     let place = common::Place::new(Path::new(folder));
     let code = match case.as_str() {
         "callbacks" => callbacks::main(&place),
+        "sites" => sites::main(&place),
         "upgrade" => upgrade::main(&place),
         _ => common::give_up("unknown case"),
     };
--- a/review/standin/upgrade.rs
+++ b/review/standin/upgrade.rs
@@ -28,8 +28,13 @@
         .into_iter()
         .zip(addresses)
         .enumerate()
-        .map(|(number, (id, address))| {
-            Entry { id, address, zone: zones[number % 4], kind: kinds[number % 3], state: "active", started_ms: 0 }
+        .map(|(number, (id, address))| Entry {
+            id,
+            address,
+            zone: zones[number % 4],
+            kind: kinds[number % 3],
+            state: "active",
+            started_ms: 0,
         })
         .collect();
     record.line(format!("{workers} workers are listed"));
@@ -75,9 +80,14 @@
                     record.line(format!("client   {} got a foreign result after {took:.3} s: LOST", job.id));
                     lost.lock().unwrap().push(job.id);
                 }
-                Ok(answer) => record.line(format!("client   {} got {} after {took:.3} s", job.id, answer.status())),
+                Ok(answer) => {
+                    record.line(format!("client   {} got {} after {took:.3} s", job.id, answer.status()))
+                }
                 Err(error) => {
-                    record.line(format!("client   {}: {error} after {took:.3} s of {} ms: LOST", job.id, DEADLINE_MS));
+                    record.line(format!(
+                        "client   {}: {error} after {took:.3} s of {} ms: LOST",
+                        job.id, DEADLINE_MS
+                    ));
                     lost.lock().unwrap().push(job.id);
                 }
             }
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -37,7 +37,14 @@
     addresses
 }
 
-fn serve(mut stream: TcpStream, record: &Arc<Record>, id: &str, callbacks: SocketAddr, run_ms: u64, seen: &Seen) {
+fn serve(
+    mut stream: TcpStream,
+    record: &Arc<Record>,
+    id: &str,
+    callbacks: SocketAddr,
+    run_ms: u64,
+    seen: &Seen,
+) {
     let _ = stream.set_nonblocking(false);
     let _ = stream.set_nodelay(true);
     while let Ok(Some(request)) = read_message(&mut stream) {
@@ -66,13 +73,19 @@
     for second in 1..=(run_ms.saturating_sub(1) / 1000) {
         thread::sleep(Duration::from_secs(second).saturating_sub(start.elapsed()));
         let share = (1000 * second) as f64 / run_ms as f64;
-        callback(record, callbacks, &format!(r#"{{"id":"{job}","from":"{worker}","state":"running","share":{share:.2}}}"#));
+        callback(
+            record,
+            callbacks,
+            &format!(r#"{{"id":"{job}","from":"{worker}","state":"running","share":{share:.2}}}"#),
+        );
     }
     thread::sleep(Duration::from_millis(run_ms).saturating_sub(start.elapsed()));
     let load = format!(r#"{{"eps":0,"latency_ms":{run_ms},"queue":0,"x0":3}}"#);
     callback(
         record,
         callbacks,
-        &format!(r#"{{"id":"{job}","from":"{worker}","state":"done","result":"map of {job}","load":{load}}}"#),
+        &format!(
+            r#"{{"id":"{job}","from":"{worker}","state":"done","result":"map of {job}","load":{load}}}"#
+        ),
     );
 }
