--- a/review/standin/upgrade.rs
+++ b/review/standin/upgrade.rs
@@ -105,6 +105,9 @@
         }
         record.line("the new process says yes");
         sleep_ms(1500);
+        for (label, ops) in [("old", ops), ("new", ops2)] {
+            record.line(format!("operator asks the {label} process for its STATUS: {:?}", status(ops)));
+        }
         old.signal("TERM");
         // The longest deadline counts as 3 s; SIGKILL comes 0.7 s later at the earliest.
         let kill_at = Instant::now() + Duration::from_millis(3700);
