Log each callback with the attempt to which it is applied

The log showed that an attempt had ended, but not which message ended it: a repeated callback, the worker's response and a broken connection all gave the same "attempt ended" line. The debug line "callback received" names request, worker, event, the attempt that the callback is applied to, and whether that attempt is open.

--- a/src/server/engine/callbacks.rs
+++ b/src/server/engine/callbacks.rs
@@ -30,7 +30,9 @@
             self.counters.callbacks_passed_on.add();
             return;
         }
-        match self.callback_target(&callback) {
+        let target = self.callback_target(&callback);
+        log_callback(&callback, target.as_ref());
+        match target {
             Some(target) => self.apply_callback(target, callback),
             None => {
                 self.counters.callbacks_unmatched.add();
@@ -99,3 +101,15 @@
         self.peers.broadcast(excluded, &frame)
     }
 }
+
+/// Logs a callback with the attempt that it is applied to.
+fn log_callback(callback: &WorkerCallback, target: Option<&CallbackTarget>) {
+    tracing::debug!(
+        request = %callback.request_name.escape_ascii(),
+        worker = callback.worker_name,
+        event = callback.event.name(),
+        attempt = target.map(|target| target.attempt),
+        open = target.is_some_and(|target| target.open),
+        "callback received"
+    );
+}
--- a/src/server/messages.rs
+++ b/src/server/messages.rs
@@ -121,6 +121,18 @@
     Ended(AttemptEnd),
 }
 
+impl CallbackEvent {
+    /// Returns the name used in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            CallbackEvent::Started => "started",
+            CallbackEvent::Progress(_) => "progress",
+            CallbackEvent::Completed(_) => AttemptEnd::Completed.name(),
+            CallbackEvent::Ended(end) => end.name(),
+        }
+    }
+}
+
 /// A callback from a worker. It identifies the request and the worker by name.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WorkerCallback {
