End an attempt by a callback only if no earlier attempt there may be meant

For other classes an attempt was sent beside one that was running.

Cause: a callback names the request and the worker, and the worker repeats it until it is answered. Engine::callback_target applied it to the last open attempt at the worker. A `returned` whose answer had been lost came again after the request had been sent to the same worker once more, and ended the new attempt as one that never ran.

Evidence: debug lines of the case: started attempt=1, callback received event=returned attempt=1, attempt ended attempt=1 end=returned, attempt dispatched attempt=2. No response, broken connection, overdue check or cancellation lies between.

Change: LateCallbacks says for each end which callbacks may still follow it. A callback with an end that an earlier attempt at the same worker may have sent ends neither attempt: the open one counts as in flight, and is cancelled and retried if the worker reports no progress of it. That is safe whichever attempt is meant. A non-idempotent request is then neither sent again nor rejected. A request with such an earlier attempt stays with its process in an upgrade; the frame format version is 3 for that reason. New counter callbacks_ambiguous.

The test of the counters' names has the new one behind the old list, which is unchanged. Tests of the engine's attempt states name what may follow an end; they check as much as before.

--- a/src/scheduling/attempt_progress.rs
+++ b/src/scheduling/attempt_progress.rs
@@ -72,6 +72,7 @@
         }
         attempt.progress = fraction;
         attempt.last_notified_at = self.now;
+        attempt.end_is_uncertain = false;
         let worker_id = attempt.worker;
         let start_delay_s = self.now - attempt.sent_at;
         let has_just_started = attempt.started_at.is_none() && fraction == 0.0;
@@ -88,6 +89,17 @@
         }
     }
 
+    /// Handles a report of an end that may be this attempt's or an earlier one's at the same worker. The attempt is
+    /// overdue unless the worker reports its progress from now on (`overdue.rs`).
+    pub(crate) fn attempt_end_uncertain(&mut self, id: RequestId, attempt: usize) {
+        let Some(tracked) = self.requests.all.get_mut(&id) else { return };
+        let Some(attempt) = tracked.attempts.get_mut(attempt) else { return };
+        if attempt.is_in_flight() {
+            attempt.end_is_uncertain = true;
+            attempt.last_notified_at = self.now;
+        }
+    }
+
     fn record_start(&mut self, id: WorkerId, start_delay_s: f64) {
         let was_queued = start_delay_s > (2.0 * self.round_interval_s).max(MIN_QUEUED_S);
         let Some(total_slots) = self.fleet.workers.get(&id).map(|worker| self.fleet.slots_of(worker)) else {
--- a/src/scheduling/dispatcher.rs
+++ b/src/scheduling/dispatcher.rs
@@ -62,6 +62,7 @@
             }
             Event::ResponseStarted { request, .. } => state.requests.start_streaming(request),
             Event::AttemptEnded(ended) => state.attempt_ended(ended),
+            Event::AttemptEndUncertain { request, attempt } => state.attempt_end_uncertain(request, attempt),
             Event::ClientDisconnected(request) => state.close(request),
             Event::TimerExpired(tag) => Self::timer_expired(state, tag),
             Event::StateLearned(learned) => Self::apply_learned_state(state, *learned),
--- a/src/scheduling/event.rs
+++ b/src/scheduling/event.rs
@@ -63,6 +63,14 @@
     },
     /// An attempt ended.
     AttemptEnded(AttemptEnded),
+    /// The worker reported the end of this attempt or of an earlier one of the same request, and it is not known which.
+    /// The attempt is in flight until its end is certain.
+    AttemptEndUncertain {
+        /// The request.
+        request: RequestId,
+        /// Index of the attempt.
+        attempt: usize,
+    },
     /// The client disconnected.
     ClientDisconnected(RequestId),
     /// A timer set by [`Action::SetTimer`](crate::scheduling::Action::SetTimer) expired; carries its tag.
--- a/src/scheduling/hedging.rs
+++ b/src/scheduling/hedging.rs
@@ -42,7 +42,8 @@
         }
         // Without overload detection a late start may be caused by overload, which another attempt would
         // aggravate.
-        let may_be_queued = overdue.started_at.is_none() && !self.detects_overload();
+        let awaits_start = overdue.started_at.is_none() && !overdue.end_is_uncertain;
+        let may_be_queued = awaits_start && !self.detects_overload();
         !may_be_queued && !self.is_fleet_full()
     }
 
--- a/src/scheduling/overdue.rs
+++ b/src/scheduling/overdue.rs
@@ -8,7 +8,8 @@
 //! | has started, without progress reports | [`MIN_OVERDUE_S`] plus a multiple of its estimated run time |
 //!
 //! The worker is ejected unless most of the fleet is (`outlier_detection.rs`), and the attempt is replaced
-//! where that is allowed (`hedging.rs`). A sent request that has not started and can no longer meet its latency
+//! where that is allowed (`hedging.rs`). If the worker has reported an end that may be this attempt's, only its own
+//! notifications count from then on, and the worker is not ejected. A sent request that has not started and can no longer meet its latency
 //! objective is rejected if a late answer has no value and the client can safely retry, because it would only
 //! delay the requests queued behind it.
 
@@ -48,7 +49,8 @@
     request: RequestId,
     attempt: usize,
     worker: WorkerId,
-    is_overdue: bool,
+    /// Whether the worker is ejected. It is not while it has reported an end that may be this attempt's.
+    ejects_worker: bool,
     should_replace: bool,
 }
 
@@ -74,7 +76,7 @@
             self.reject_or_fail(id);
         }
         for check in checks {
-            if check.is_overdue {
+            if check.ejects_worker {
                 self.eject(check.worker, EjectionReason::LateOrUnstable);
             }
             if check.should_replace {
@@ -109,23 +111,24 @@
         let overdue_s = self.overdue_limit_s(tracked, attempt, worker, limits);
         // Where this scheduler's own traffic does not show free slots, a late start may mean overload, so a
         // different limit applies.
-        let awaits_start = attempt.started_at.is_none();
+        let awaits_start = attempt.started_at.is_none() && !attempt.end_is_uncertain;
         let replace_after_s =
             if awaits_start && !self.sees_free_slots() { limits.replace_unstarted_s } else { overdue_s };
         AttemptCheck {
             request: tracked.request.id,
             attempt: index,
             worker: attempt.worker,
-            is_overdue: silence_s > overdue_s,
+            ejects_worker: silence_s > overdue_s && !attempt.end_is_uncertain,
             should_replace: silence_s > replace_after_s,
         }
     }
 
     /// Seconds since the last notification of an attempt. While its start is awaited, any notification of the
     /// worker counts: the worker is alive, though possibly overloaded, and another attempt would add to its
-    /// load.
+    /// load. Not so once the attempt may have ended, because then no start may follow.
     fn silence_s(&self, attempt: &Attempt, worker: &Worker) -> f64 {
-        let any_notification_counts = attempt.started_at.is_none() && !self.relies_on_probes();
+        let awaits_start = attempt.started_at.is_none() && !attempt.end_is_uncertain;
+        let any_notification_counts = awaits_start && !self.relies_on_probes();
         let last_notified_at = if any_notification_counts {
             attempt.last_notified_at.max(worker.last_notified_at)
         } else {
--- a/src/scheduling/request_table.rs
+++ b/src/scheduling/request_table.rs
@@ -57,6 +57,9 @@
     /// Completed fraction, or [`NO_PROGRESS`].
     pub progress: f64,
     pub state: AttemptState,
+    /// Whether the worker has reported an end that may be this attempt's, and no progress since. Not handed over: a
+    /// request with an earlier attempt that the report may be about does not migrate.
+    pub end_is_uncertain: bool,
     /// How close the worker was to the data that the request needs, if it needs any.
     pub locality: Option<Locality>,
 }
@@ -71,6 +74,7 @@
             last_notified_at: now,
             progress: NO_PROGRESS,
             state: AttemptState::InFlight,
+            end_is_uncertain: false,
             locality,
         }
     }
@@ -162,6 +166,7 @@
             last_notified_at: stored.last_notified_at,
             progress: stored.progress,
             state,
+            end_is_uncertain: false,
             locality: stored.locality,
         }
     }
--- a/src/server/engine.rs
+++ b/src/server/engine.rs
@@ -20,6 +20,7 @@
 //! | `attempt_state` | tracks whether an attempt is running, being cancelled, or has ended |
 //! | `attempts` | dispatches, cancels and ends attempts |
 //! | `callbacks` | applies callbacks from workers |
+//! | `late_callbacks` | tells which callbacks may still follow the end of an attempt |
 //! | `answers` | gives each request its final answer and removes finished requests |
 //! | `endpoint_list` | maintains the set of workers |
 //! | `migration` | migrates requests between the processes of an upgrade |
@@ -33,6 +34,7 @@
 mod callbacks;
 mod clock;
 mod endpoint_list;
+mod late_callbacks;
 mod migration;
 mod recent_sends;
 mod request_table;
--- a/src/server/engine/attempt_state.rs
+++ b/src/server/engine/attempt_state.rs
@@ -8,7 +8,9 @@
 
 use tokio::sync::oneshot;
 
+use super::late_callbacks::LateCallbacks;
 use crate::scheduling::WorkerId;
+use crate::server::attempt_end::AttemptEnd;
 use crate::server::messages::AttemptCommand;
 
 /// The state of an attempt.
@@ -22,7 +24,10 @@
     /// Its task was told to cancel the attempt and has not yet reported the end.
     Cancelling,
     /// It has ended, was never sent, or has been taken over by another process.
-    Ended,
+    Ended {
+        /// What its worker may still report about it.
+        late_callbacks: LateCallbacks,
+    },
 }
 
 /// A transition of the state of an attempt.
@@ -30,8 +35,8 @@
 pub(super) enum AttemptTransition {
     /// Cancel the attempt at the worker.
     Cancel,
-    /// The attempt has ended; its task may finish the exchange.
-    End,
+    /// The attempt has ended; its task may finish the exchange. The worker may still send these callbacks.
+    End(LateCallbacks),
     /// Another process takes over the attempt.
     Detach,
 }
@@ -54,16 +59,17 @@
         Attempt { worker, state: AttemptState::Running { command }, accepted }
     }
 
-    /// Creates an attempt that has ended or was never sent.
-    pub(super) fn ended(worker: WorkerId) -> Self {
-        Attempt { worker, state: AttemptState::Ended, accepted: Rc::default() }
+    /// Creates an attempt that was never sent, or has ended in a way that lets no callback follow.
+    pub(super) fn settled(worker: WorkerId) -> Self {
+        let state = AttemptState::Ended { late_callbacks: LateCallbacks::None };
+        Attempt { worker, state, accepted: Rc::default() }
     }
 
     /// Returns whether the attempt is running or being cancelled.
     pub(super) fn is_open(&self) -> bool {
         match self.state {
             AttemptState::Running { .. } | AttemptState::Cancelling => true,
-            AttemptState::Ended => false,
+            AttemptState::Ended { .. } => false,
         }
     }
 
@@ -71,41 +77,54 @@
     pub(super) fn is_running(&self) -> bool {
         match self.state {
             AttemptState::Running { .. } => true,
-            AttemptState::Cancelling | AttemptState::Ended => false,
+            AttemptState::Cancelling | AttemptState::Ended { .. } => false,
+        }
+    }
+
+    /// Returns whether the attempt has ended and its worker may still send a callback that reports this end of it.
+    pub(super) fn may_still_report(&self, end: AttemptEnd) -> bool {
+        match self.state {
+            AttemptState::Running { .. } | AttemptState::Cancelling => false,
+            AttemptState::Ended { late_callbacks } => late_callbacks.may_include(end),
         }
     }
 
-    /// Returns whether another process can take over the attempt: it has ended, or the worker has accepted it and
-    /// it is not being cancelled.
+    /// Returns whether another process can take over the attempt: the worker has accepted it and it is not being
+    /// cancelled, or it has ended and no callback about it can follow. What may follow is not handed over, and
+    /// without it the other process could take a late callback for one about a later attempt.
     pub(super) fn can_migrate(&self) -> bool {
         match self.state {
             AttemptState::Running { .. } => self.accepted.get(),
             AttemptState::Cancelling => false,
-            AttemptState::Ended => true,
+            AttemptState::Ended { late_callbacks } => late_callbacks == LateCallbacks::None,
         }
     }
 
     /// Applies a transition and sends the task the matching command. Nothing else modifies the state.
     pub(super) fn advance(&mut self, transition: AttemptTransition) {
-        let before = std::mem::replace(&mut self.state, AttemptState::Ended);
+        let placeholder = AttemptState::Ended { late_callbacks: LateCallbacks::Any };
+        let before = std::mem::replace(&mut self.state, placeholder);
         let (after, command) = match (before, transition) {
             (AttemptState::Running { command }, AttemptTransition::Cancel) => {
                 (AttemptState::Cancelling, Some((command, AttemptCommand::Cancel)))
             }
-            (AttemptState::Running { command }, AttemptTransition::End) => {
-                (AttemptState::Ended, Some((command, AttemptCommand::Finish)))
+            (AttemptState::Running { command }, AttemptTransition::End(late_callbacks)) => {
+                (AttemptState::Ended { late_callbacks }, Some((command, AttemptCommand::Finish)))
             }
             (AttemptState::Running { command }, AttemptTransition::Detach) => {
-                (AttemptState::Ended, Some((command, AttemptCommand::Detach)))
+                let ended = AttemptState::Ended { late_callbacks: LateCallbacks::Any };
+                (ended, Some((command, AttemptCommand::Detach)))
+            }
+            (AttemptState::Cancelling, AttemptTransition::End(late_callbacks)) => {
+                (AttemptState::Ended { late_callbacks }, None)
             }
-            (AttemptState::Cancelling, AttemptTransition::End) => (AttemptState::Ended, None),
             (AttemptState::Cancelling, AttemptTransition::Cancel | AttemptTransition::Detach) => {
                 (AttemptState::Cancelling, None)
             }
             (
-                AttemptState::Ended,
-                AttemptTransition::Cancel | AttemptTransition::End | AttemptTransition::Detach,
-            ) => (AttemptState::Ended, None),
+                ended @ AttemptState::Ended { .. },
+                AttemptTransition::Cancel | AttemptTransition::End(_) | AttemptTransition::Detach,
+            ) => (ended, None),
         };
         self.state = after;
         if let Some((sender, command)) = command {
--- a/src/server/engine/attempt_state/tests.rs
+++ b/src/server/engine/attempt_state/tests.rs
@@ -13,7 +13,7 @@
 fn each_transition_of_a_running_attempt_sends_one_command_to_its_task() {
     for (transition, command, open) in [
         (AttemptTransition::Cancel, AttemptCommand::Cancel, true),
-        (AttemptTransition::End, AttemptCommand::Finish, false),
+        (AttemptTransition::End(LateCallbacks::None), AttemptCommand::Finish, false),
         (AttemptTransition::Detach, AttemptCommand::Detach, false),
     ] {
         let (mut attempt, mut commands) = running();
@@ -29,7 +29,7 @@
     attempt.advance(AttemptTransition::Cancel);
     attempt.advance(AttemptTransition::Cancel);
     assert!(attempt.is_open());
-    attempt.advance(AttemptTransition::End);
+    attempt.advance(AttemptTransition::End(LateCallbacks::None));
     assert!(!attempt.is_open());
     assert_eq!(commands.try_recv(), Ok(AttemptCommand::Cancel));
     assert_eq!(commands.try_recv(), Err(TryRecvError::Closed), "the task receives a single command");
@@ -37,8 +37,10 @@
 
 #[test]
 fn ended_attempt_never_reopens() {
-    for transition in [AttemptTransition::Cancel, AttemptTransition::End, AttemptTransition::Detach] {
-        let mut attempt = Attempt::ended(WorkerId(1));
+    for transition in
+        [AttemptTransition::Cancel, AttemptTransition::End(LateCallbacks::None), AttemptTransition::Detach]
+    {
+        let mut attempt = Attempt::settled(WorkerId(1));
         attempt.advance(transition);
         assert!(!attempt.is_open(), "{transition:?}");
     }
@@ -52,6 +54,6 @@
     assert!(attempt.can_migrate());
     attempt.advance(AttemptTransition::Cancel);
     assert!(!attempt.can_migrate(), "the attempt is being cancelled");
-    attempt.advance(AttemptTransition::End);
+    attempt.advance(AttemptTransition::End(LateCallbacks::None));
     assert!(attempt.can_migrate());
 }
--- a/src/server/engine/attempts.rs
+++ b/src/server/engine/attempts.rs
@@ -10,6 +10,7 @@
 use tokio::task::spawn_local;
 
 use super::attempt_state::{Attempt, AttemptTransition};
+use super::late_callbacks::LateCallbacks;
 use super::request_table::{StartedAttempt, TrackedRequest};
 use super::Engine;
 use crate::scheduling::{AttemptEnded, Event, LoadReport, RequestId, WorkerId};
@@ -22,9 +23,12 @@
 use crate::server::workers::capacity_probe::{probe, ProbeResult};
 use crate::server::workers::endpoint::WorkerEndpoint;
 
-/// How an attempt ended, and the load that its worker reported with it.
-pub(super) struct EndWithLoad {
+/// The report of an attempt's end.
+pub(super) struct EndReport {
     pub(super) end: AttemptEnd,
+    /// What the worker may still report about the attempt.
+    pub(super) late_callbacks: LateCallbacks,
+    /// The load that the worker reported with the end.
     pub(super) load: LoadReport,
 }
 
@@ -59,7 +63,7 @@
     fn not_dispatched(&mut self, id: RequestId, worker: WorkerId) -> Option<Event> {
         let request = self.requests.get_mut(id)?;
         let attempt = request.attempts.len();
-        request.attempts.push(Attempt::ended(worker));
+        request.attempts.push(Attempt::settled(worker));
         Some(Event::AttemptEnded(AttemptEnded {
             request: id,
             attempt,
@@ -88,18 +92,19 @@
             Some(header) => self.resolve_load_report(&load_report::from_header(&header)),
             None => LoadReport::default(),
         };
-        self.attempt_ended(id, attempt, EndWithLoad { end, load });
+        let late_callbacks = LateCallbacks::after_exchange(end);
+        self.attempt_ended(id, attempt, EndReport { end, late_callbacks, load });
     }
 
     /// Ends an attempt and notifies the dispatcher. Does nothing if the attempt has already ended.
-    pub(super) fn attempt_ended(&mut self, id: RequestId, attempt: usize, ending: EndWithLoad) {
-        let EndWithLoad { end, load } = ending;
+    pub(super) fn attempt_ended(&mut self, id: RequestId, attempt: usize, report: EndReport) {
+        let EndReport { end, late_callbacks, load } = report;
         let Some(request) = self.requests.get_mut(id) else { return };
         let client_answered = !request.is_waiting();
         let Some(ended) = request.attempts.get_mut(attempt).filter(|attempt| attempt.is_open()) else {
             return;
         };
-        ended.advance(AttemptTransition::End);
+        ended.advance(AttemptTransition::End(late_callbacks));
         let outcome = end.outcome();
         let name = request.payload.name.escape_ascii();
         let free_slots = load.free_slots.unwrap_or(-1.0);
--- a/src/server/engine/migration.rs
+++ b/src/server/engine/migration.rs
@@ -5,8 +5,8 @@
 //!
 //! A request migrates with its complete state, so that it does not fail because the process that accepted it
 //! exits. It migrates only when none of its attempts is being sent or cancelled, because that state belongs to
-//! a socket and cannot be serialized. Requests that are at another site, or came from one, do not migrate: they
-//! depend on the site link of this process.
+//! a socket and cannot be serialized, and when no callback about an ended attempt can follow. Requests that are at
+//! another site, or came from one, do not migrate: they depend on the site link of this process.
 //!
 //! The frames are defined in [`crate::server::lifecycle::handover_frames`]; the clients' sockets belong to
 //! [`crate::server::frontend`].
@@ -89,7 +89,7 @@
         self.migrate_requests();
     }
 
-    /// Migrates all requests whose client is waiting and that have no attempt being sent or cancelled.
+    /// Migrates all requests whose client is waiting and whose attempts can migrate.
     pub(super) fn migrate_requests(&mut self) {
         if !self.migration.is_migrating() {
             return;
@@ -172,7 +172,8 @@
     }
 
     /// Adds an attempt of a migrated request. An open attempt has been accepted by its worker, so only a
-    /// callback, the deadline or a cancellation can end it.
+    /// callback, the deadline or a cancellation can end it. No callback can follow an ended one
+    /// ([`Attempt::can_migrate`]).
     fn resume_attempt(
         &self,
         id: RequestId,
@@ -181,7 +182,7 @@
         migrated: MigratedAttempt,
     ) {
         if !migrated.open {
-            request.attempts.push(Attempt::ended(worker));
+            request.attempts.push(Attempt::settled(worker));
             return;
         }
         let started = request.start_attempt(worker, true);
--- a/src/server/engine/request_table/tests.rs
+++ b/src/server/engine/request_table/tests.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::server::engine::attempt_state::AttemptTransition;
+use crate::server::engine::late_callbacks::LateCallbacks;
 use crate::server::metrics::Gauge;
 
 fn submitted(name: &'static [u8]) -> ClientRequest {
@@ -51,7 +52,7 @@
     assert!(request.never_ran());
     let started = request.start_attempt(WorkerId(1), false);
     assert!(!request.never_ran());
-    request.attempts[started.number].advance(AttemptTransition::End);
+    request.attempts[started.number].advance(AttemptTransition::End(LateCallbacks::None));
     assert!(request.never_ran());
     request.may_have_run = true;
     assert!(!request.never_ran());
--- a/src/server/engine/requests.rs
+++ b/src/server/engine/requests.rs
@@ -6,7 +6,8 @@
 use tokio::sync::oneshot;
 
 use super::attempt_state::AttemptTransition;
-use super::attempts::EndWithLoad;
+use super::attempts::EndReport;
+use super::late_callbacks::LateCallbacks;
 use super::request_table::{TrackedRequest, WaitEnd};
 use super::timers::Timer;
 use super::Engine;
@@ -107,8 +108,10 @@
             let Some(expired) = self.requests.attempt_mut(id, attempt) else { return };
             if expired.is_running() {
                 expired.advance(AttemptTransition::Cancel);
-                let ending = EndWithLoad { end: AttemptEnd::DeadlinePassed, load: LoadReport::default() };
-                self.attempt_ended(id, attempt, ending);
+                let end = AttemptEnd::DeadlinePassed;
+                let late_callbacks = LateCallbacks::after_exchange(end);
+                let report = EndReport { end, late_callbacks, load: LoadReport::default() };
+                self.attempt_ended(id, attempt, report);
             }
         }
     }
--- a/src/server/lifecycle/handover_frames/frame.rs
+++ b/src/server/lifecycle/handover_frames/frame.rs
@@ -7,11 +7,16 @@
 use crate::server::frontend::connection_eviction::EvictionClass;
 use crate::server::messages::{MigratedRequest, WorkerCallback};
 
-/// Frame format version. Increment it with every change to a frame that is not stable.
+/// Frame format version. Increment it with every change to a frame that is not stable, or to what it implies.
+///
+/// | version | change |
+/// | --- | --- |
+/// | 2 | the first with stable frames |
+/// | 3 | same encoding; no callback about an ended attempt of a migrated request can follow |
 ///
 /// Builds with different versions exchange only stable frames, which suffice for an upgrade: the predecessor then closes
 /// its idle connections instead of handing them over, and finishes its own requests.
-pub(super) const FRAME_FORMAT_VERSION: u8 = 2;
+pub(super) const FRAME_FORMAT_VERSION: u8 = 3;
 /// Number of stable frames, the first variants of [`HandoverFrame`]. All builds encode them identically.
 pub(super) const STABLE_FRAME_COUNT: u8 = 5;
 
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -31,6 +31,8 @@
             $($(#[$doc])* pub $name: Counter,)*
             /// Ended attempts by [`AttemptEnd`], in the order of [`AttemptEnd::ALL`].
             pub ends: [Counter; AttemptEnd::ALL.len()],
+            /// Callbacks with an end that is either the open attempt's or an earlier one's at the same worker.
+            pub callbacks_ambiguous: Counter,
             /// Counters by class index, in the order of the settings.
             classes: RefCell<Vec<Rc<ClassCounters>>>,
             /// Metrics of the gateway to other sites.
@@ -150,7 +152,8 @@
         for (end, counter) in AttemptEnd::ALL.iter().zip(&self.ends) {
             writeln!(f, "flows_ended_{} {}", end.name(), counter.get())?;
         }
-        Ok(())
+        // Last, because programs may rely on the order of the other lines.
+        writeln!(f, "callbacks_ambiguous {}", self.callbacks_ambiguous.get())
     }
 }
 
--- a/src/server/metrics/tests.rs
+++ b/src/server/metrics/tests.rs
@@ -54,6 +54,11 @@
 flows_ended_member_inactive 0
 ";
 
+/// The names added since, which follow the others.
+const ADDED_COUNTERS: &str = "\
+callbacks_ambiguous 0
+";
+
 const OPERATOR_METRICS: &str = "\
 svc.ok.draw=2
 svc.shed.draw=1
@@ -85,7 +90,7 @@
 
 #[test]
 fn counters_keep_their_names_and_order() {
-    assert_eq!(Counters::default().to_string(), COUNTERS);
+    assert_eq!(Counters::default().to_string(), format!("{COUNTERS}{ADDED_COUNTERS}"));
 }
 
 #[test]
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -139,3 +139,64 @@
         assert_eq!((failed(&actions, 1), rejected(&actions, 1)), (last && fails, last && !fails));
     }
 }
+
+/// A scheduler whose request 1 of this class was sent to worker 1, which then reported an end that may be this attempt's.
+/// Request 2 keeps running there.
+fn scheduler_with_uncertain_end(class: usize) -> TestScheduler {
+    let mut settings = Settings { capacity_probes_allowed: false, ..settings() };
+    for class in &mut settings.classes {
+        class.latency_objective_s = 8.0; // a start that is late does not cause a rejection
+    }
+    let mut scheduler = TestScheduler::new(settings, vec![worker(1)]);
+    for id in [2, 1] {
+        scheduler.send(Event::RequestReceived(request(id, if id == 1 { class } else { 0 }, scheduler.now)));
+        assert_eq!(dispatched(&scheduler.run(0.2)), [(id, 1)]);
+    }
+    scheduler.send(Event::AttemptStarted { request: RequestId(2), attempt: 0 });
+    let actions = scheduler.send(Event::AttemptEndUncertain { request: RequestId(1), attempt: 0 });
+    assert!(actions.is_empty(), "the attempt may be running: {actions:?}");
+    scheduler
+}
+
+/// Advances the clock by 2 s, in which `running` and request 2 report progress every 0.1 s.
+fn run_with_progress(scheduler: &mut TestScheduler, running: Option<RequestId>) -> Vec<Action> {
+    let mut actions = Vec::new();
+    for step in 1..=20 {
+        for request in running.into_iter().chain([RequestId(2)]) {
+            let fraction = 0.01 * f64::from(step);
+            actions.extend(scheduler.send(Event::AttemptProgressed { request, attempt: 0, fraction }));
+        }
+        actions.extend(scheduler.run(0.1));
+    }
+    actions
+}
+
+/// The worker may hold the request no longer, though it reports on other requests. It must not wait until its deadline.
+#[rstest]
+fn attempt_whose_end_is_uncertain_is_cancelled_if_its_worker_reports_no_progress(
+    #[values(0, 3)] class: usize,
+) {
+    let mut scheduler = scheduler_with_uncertain_end(class);
+    let actions = run_with_progress(&mut scheduler, None);
+    assert_eq!(actions, [Action::Cancel { request: RequestId(1), attempt: 0 }]);
+    assert_eq!(scheduler.dispatcher.ejected_count(), 0, "the worker is not silent");
+}
+
+/// The end was an earlier attempt's: the worker reports progress of the one in flight.
+#[rstest]
+fn attempt_whose_end_is_uncertain_goes_on_if_its_worker_reports_progress(#[values(0, 1, 3)] class: usize) {
+    let mut scheduler = scheduler_with_uncertain_end(class);
+    scheduler.send(Event::AttemptStarted { request: RequestId(1), attempt: 0 });
+    let actions = run_with_progress(&mut scheduler, Some(RequestId(1)));
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
+/// A non-idempotent request that may be running is neither sent again nor rejected. It fails when its client stops waiting.
+#[test]
+fn non_idempotent_request_whose_end_is_uncertain_fails_at_its_deadline() {
+    let mut scheduler = scheduler_with_uncertain_end(1);
+    let mut actions = run_with_progress(&mut scheduler, None);
+    assert!(actions.is_empty(), "{actions:?}");
+    actions.extend(scheduler.run(30.0));
+    assert!(failed(&actions, 1) && !rejected(&actions, 1) && dispatched(&actions).is_empty(), "{actions:?}");
+}
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -355,6 +355,7 @@
             }
             (50..=79, Some((id, attempt))) => self.attempt_ended(id, attempt),
             (80, _) => self.worker_changed(),
+            (81..=82, Some((id, attempt))) => Event::AttemptEndUncertain { request: RequestId(id), attempt },
             (85, _) if self.settings.discovery_polled => Event::DiscoveryFailed,
             (86, _) => Event::ProbeEnded {
                 worker: WorkerId(self.random.u64(0..8)), // not necessarily one that was probed
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -2,6 +2,7 @@
 //! that they test; `scenario` describes their language.
 
 mod attempts;
+mod callbacks;
 mod clients;
 mod discovery;
 mod gateway;
