Do not write a request that another attempt has answered meanwhile

Callers: none notice. A worker got a request after its final answer and ran it in vain.

Cause: while an attempt connects, the result of an earlier attempt at the same worker may arrive. It ends the open attempt, whose task is told to finish. The task took that for a callback before the response and went on with the exchange: it connected and wrote the request.

Evidence: tests/attempt.rs, one request written after Finish; after Cancel in the same state none.

Change: after Finish the task goes on only if the request has been written.

--- a/src/server/workers/attempt.rs
+++ b/src/server/workers/attempt.rs
@@ -76,8 +76,11 @@
         };
         if !matches!(command, Ok(AttemptCommand::Cancel)) {
             // A callback arrived before the response. The response is still read so that the connection can be
-            // reused. If it does not arrive in time, the connection is closed.
-            let _ = timeout(LATE_RESPONSE_TIMEOUT, exchange).await;
+            // reused. If it does not arrive in time, the connection is closed. A request that is not written yet
+            // was answered by another attempt, and must not reach the worker.
+            if state.get().is_request_written() {
+                let _ = timeout(LATE_RESPONSE_TIMEOUT, exchange).await;
+            }
             return AttemptResult::without_load_report(AttemptEnd::Completed);
         }
         // Closing the connection before the response cancels the request (protocol page).
--- a/src/server/workers/attempt/state.rs
+++ b/src/server/workers/attempt/state.rs
@@ -69,6 +69,18 @@
         }
     }
 
+    /// Returns whether the last byte of the request has been written, so that the worker may have started it.
+    pub(super) fn is_request_written(self) -> bool {
+        match self {
+            AttemptState::Connecting | AttemptState::Sending => false,
+            AttemptState::Waiting
+            | AttemptState::Accepted
+            | AttemptState::CancellingUnanswered
+            | AttemptState::CancellingAccepted
+            | AttemptState::Ended => true,
+        }
+    }
+
     /// Returns `to` if this is the state `from`, otherwise the unchanged state.
     fn transition(self, from: AttemptState, to: AttemptState) -> Self {
         if self == from {
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -90,6 +90,18 @@
     assert_eq!(attempt.run().await, ended_with(AttemptEnd::CancelledUnsent));
 }
 
+/// The result of an earlier attempt arrives while this one connects, so the request is answered. The worker must not
+/// receive it afterwards.
+#[tokio::test]
+async fn sends_nothing_if_a_callback_answers_the_request_before_the_start() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (attempt, command) = attempt_at(listener.local_addr().unwrap(), true, 8);
+    let class = Rc::clone(&attempt.class);
+    command.send(AttemptCommand::Finish).unwrap();
+    assert_eq!(attempt.run().await, ended_with(AttemptEnd::Completed));
+    assert_eq!(class.tries.get(), 0, "requests written");
+}
+
 /// An unreachable host does not answer a connect at all. A listener with a full backlog behaves the same way.
 #[tokio::test]
 async fn connect_times_out_if_the_host_does_not_answer() {
