Add a trial in which workers hand back, lose and repeat callbacks

`cargo trial callbacks` plays one scheduler whose workers hand accepted requests back, lose runs halfway and repeat callbacks because the answers to them are lost. From outside it checks that each request is answered in time, that no request runs beside another run of it, and that a non-idempotent request runs at most once and is not rejected once it has run.

--- a/crates/fault-injection/src/fleet.rs
+++ b/crates/fault-injection/src/fleet.rs
@@ -10,7 +10,7 @@
 use chutesaddle_test_doubles::site::{WorkerShape, WORKERS};
 use chutesaddle_test_doubles::worker::WorkerListener;
 use chutesaddle_test_doubles::{
-    config, Client, Discovery, Journal, SchedulerProcess, TestWorker, WorkerSpec,
+    config, CallbackFaultRates, Client, Discovery, Journal, SchedulerProcess, TestWorker, WorkerSpec,
 };
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
@@ -255,6 +255,8 @@
             speed,
             deduplication_window: DEDUPLICATION_WINDOW,
             warm_up: None,
+            callback_faults: CallbackFaultRates::default(),
+            seed: 0,
         };
         workers.push(TestWorker::start(spec, journal.clone()).await?);
     }
--- a/crates/fault-injection/src/main.rs
+++ b/crates/fault-injection/src/main.rs
@@ -2,15 +2,18 @@
 //! invariant is violated; the smallest failing plan found and the command that reproduces it are then printed. The exit
 //! status is 2 if the test could not be run.
 
+use std::future::Future;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use chutesaddle_fault_injection::agreement;
+use chutesaddle_fault_injection::callbacks;
 use chutesaddle_fault_injection::gossip::{self, GossipReport, Scenario};
 use chutesaddle_fault_injection::plan::FaultPlan;
 use chutesaddle_test_doubles::program::{build_scheduler, TempDirectory};
+use chutesaddle_test_doubles::CallbackFaultRates;
 use clap::{Parser, Subcommand};
 use serde::Serialize;
 use tokio::task::LocalSet;
@@ -37,6 +40,8 @@
     /// Schedulers that gossip: with faults, without faults, and without gossip
     #[command(name = "notes")]
     Gossip(GossipArguments),
+    /// One scheduler whose workers hand requests back, lose some and repeat their callbacks
+    Callbacks(CallbackArguments),
     /// The replicated register protocol on a virtual network, for a range of seeds
     AgreementNetwork(AgreementArguments),
 }
@@ -51,6 +56,48 @@
     seeds: u64,
 }
 
+#[derive(clap::Args)]
+struct CallbackArguments {
+    /// Seed of the traffic and the faults
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Number of workers
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=20))]
+    workers: u64,
+    /// Duration of the traffic in seconds; outstanding responses are awaited afterwards
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=600))]
+    seconds: u64,
+    /// Offered load in percent of the workers' capacity
+    #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u64).range(1..=200))]
+    load: u64,
+    /// Accepted requests that are handed back unstarted, in percent
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(0..=100))]
+    handed_back: u64,
+    /// Runs that are lost halfway, in percent
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(0..=100))]
+    lost: u64,
+    /// Callbacks that are repeated because their answer is lost, in percent
+    #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u64).range(0..=100))]
+    answer_lost: u64,
+}
+
+impl CallbackArguments {
+    fn scenario(&self) -> callbacks::Scenario {
+        let fraction = |percent: u64| percent as f64 / 100.0;
+        callbacks::Scenario {
+            seed: self.seed,
+            workers: self.workers as usize,
+            seconds: self.seconds,
+            load: fraction(self.load),
+            faults: CallbackFaultRates {
+                handed_back: fraction(self.handed_back),
+                lost: fraction(self.lost),
+                answer_lost: fraction(self.answer_lost),
+            },
+        }
+    }
+}
+
 #[derive(clap::Args)]
 struct GossipArguments {
     /// Seed of the traffic, the network and, without --plan, the faults
@@ -114,7 +161,8 @@
 
 fn main() -> ExitCode {
     match Arguments::parse().trial {
-        Trial::Gossip(arguments) => run_gossip_trial(&arguments),
+        Trial::Gossip(arguments) => exit_code(run_local(compare_gossip_runs(&arguments))),
+        Trial::Callbacks(arguments) => exit_code(run_local(run_callback_trial(&arguments))),
         Trial::AgreementNetwork(arguments) => run_agreement_trial(&arguments),
     }
 }
@@ -130,10 +178,14 @@
     }
 }
 
-fn run_gossip_trial(arguments: &GossipArguments) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let passed =
-        runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, compare_gossip_runs(arguments)));
+/// Runs a test on one thread, as the test doubles require.
+fn run_local(test: impl Future<Output = io::Result<bool>>) -> io::Result<bool> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, test)
+}
+
+/// The exit code of a test that could be run, with whether all invariants held, or could not.
+fn exit_code(passed: io::Result<bool>) -> ExitCode {
     match passed {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
@@ -144,6 +196,18 @@
     }
 }
 
+/// Runs the callback test and prints its report. Returns whether all invariants held.
+async fn run_callback_trial(arguments: &CallbackArguments) -> io::Result<bool> {
+    let (program, directory) = (build_scheduler()?, TempDirectory::new("trial")?);
+    let report = callbacks::run(&program, &directory.0, &arguments.scenario()).await?;
+    let violations = report.violations();
+    for violation in &violations {
+        println!("violated: {violation}");
+    }
+    println!("{}", serde_json::to_string(&report)?);
+    Ok(violations.is_empty())
+}
+
 /// Runs the gossip test and prints the results. Returns whether all invariants held.
 async fn compare_gossip_runs(arguments: &GossipArguments) -> io::Result<bool> {
     let plan = arguments.plan()?;
--- a/crates/test-doubles/src/client.rs
+++ b/crates/test-doubles/src/client.rs
@@ -60,8 +60,13 @@
 
     /// Submits a request and waits for its answer until the request's timeout.
     pub async fn submit(&self, request: &ClientRequest) -> ClientResult {
+        self.submit_with_slack(request, TIMEOUT_SLACK).await
+    }
+
+    /// Submits a request and waits for its answer until `slack` after the request's timeout.
+    pub async fn submit_with_slack(&self, request: &ClientRequest, slack: Duration) -> ClientResult {
         let started_at = Instant::now();
-        match timeout(request.timeout + TIMEOUT_SLACK, self.exchange(request)).await {
+        match timeout(request.timeout + slack, self.exchange(request)).await {
             Ok(Ok(200)) => ClientResult::Served(started_at.elapsed()),
             Ok(Ok(429 | 503)) => ClientResult::Rejected,
             Ok(Ok(_)) => ClientResult::Failed,
--- a/crates/test-doubles/src/lib.rs
+++ b/crates/test-doubles/src/lib.rs
@@ -5,6 +5,7 @@
 //! | module | contents |
 //! | --- | --- |
 //! | `worker`, `discovery`, `client` | the test doubles |
+//! | `callback_faults` | random faults of a worker's callbacks |
 //! | `faulty_proxy` | a TCP proxy between sites that delays, holds back and resets connections |
 //! | `traffic` | random requests from a seed, and their results |
 //! | `scheduler_process`, `site`, `program` | the scheduler under test: its process, a site with workers, the binary |
@@ -13,6 +14,7 @@
 //! Used by `crates/benchmarks`, `crates/fault-injection` and `chutesaddle demo`.
 #![warn(missing_docs)]
 
+mod callback_faults;
 pub mod client;
 pub mod discovery;
 pub mod faulty_proxy;
@@ -24,6 +26,7 @@
 pub mod traffic;
 pub mod worker;
 
+pub use callback_faults::CallbackFaultRates;
 pub use client::{Client, ClientRequest, ClientResult};
 pub use discovery::Discovery;
 pub use faulty_proxy::{FaultyProxy, ProxyState};
--- a/crates/test-doubles/src/site.rs
+++ b/crates/test-doubles/src/site.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::callback_faults::CallbackFaultRates;
 use crate::discovery::Endpoint;
 use crate::scheduler_process::SchedulerProcess;
 use crate::worker::{TestWorker, WorkerSpec};
@@ -104,6 +105,8 @@
             speed,
             deduplication_window: DEDUPLICATION_WINDOW,
             warm_up: None,
+            callback_faults: CallbackFaultRates::default(),
+            seed: 0,
         };
         let worker = TestWorker::start(spec, journal.clone()).await?;
         discovery.publish(Endpoint { name, address: worker.address, kind, state: "active", started_ms: 0 });
--- a/crates/test-doubles/src/worker.rs
+++ b/crates/test-doubles/src/worker.rs
@@ -12,6 +12,7 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use crate::callback_faults::{CallbackFaultRates, CallbackFaults};
 use crate::journal::RunId;
 use crate::{http, Journal};
 
@@ -40,6 +41,10 @@
     pub deduplication_window: Duration,
     /// How the worker warms up, or `None` if it starts at full speed.
     pub warm_up: Option<WarmUp>,
+    /// Faults of its callbacks.
+    pub callback_faults: CallbackFaultRates,
+    /// Seed of the faults.
+    pub seed: u64,
 }
 
 /// The linear warm-up of a worker after its start.
@@ -94,6 +99,7 @@
     /// The address on which the worker listens.
     pub address: SocketAddr,
     spec: WorkerSpec,
+    callback_faults: CallbackFaults,
     journal: Journal,
     started_at: Instant,
     /// Callback target of the listener at `address`.
@@ -115,6 +121,7 @@
         journal.free_slots_changed(spec.site, spec.slots as i64);
         let worker = Rc::new(TestWorker {
             address: listener.local_addr()?,
+            callback_faults: CallbackFaults::new(spec.callback_faults, spec.seed),
             spec,
             journal,
             started_at: Instant::now(),
@@ -218,6 +225,10 @@
     fn start_queued(self: &Rc<Self>) {
         while self.running.borrow().len() < self.spec.slots {
             let Some(request) = self.queued.borrow_mut().pop_front() else { return };
+            if self.callback_faults.hands_back() {
+                self.callback_in_background(&Rc::new(request), "returned", String::new());
+                continue;
+            }
             if self.is_repeat(&request) {
                 // A repeat has no effect, but its scheduler is notified that it is done.
                 let worker = Rc::clone(self);
@@ -252,7 +263,9 @@
         let age = self.started_at.elapsed();
         let speed_fraction = self.spec.warm_up.map_or(1.0, |warm_up| warm_up.fraction(age));
         let duration = request.work.div_f64(self.spec.speed * speed_fraction);
-        let (started_at, end) = (Instant::now(), Instant::now() + duration);
+        let is_lost = self.callback_faults.loses_run();
+        let (started_at, end) =
+            (Instant::now(), Instant::now() + if is_lost { duration / 2 } else { duration });
         let request = Rc::new(request);
         self.callback_in_background(&request, "started", String::new());
         while Instant::now() + PROGRESS_INTERVAL < end {
@@ -263,8 +276,12 @@
         sleep_until(end).await;
         self.running.borrow_mut().remove(&request.id);
         self.end_run(run);
-        let result = format!("\"result\":\"map of {}\"", request.id);
         self.start_queued();
+        if is_lost {
+            self.callback(&request, "lost", "").await;
+            return;
+        }
+        let result = format!("\"result\":\"map of {}\"", request.id);
         self.callback(&request, "done", &result).await;
     }
 
@@ -307,10 +324,13 @@
                 sleep(CALLBACK_RETRY_PAUSE).await;
                 continue;
             };
-            if matches!(timeout(CALLBACK_TIMEOUT, post_callback(address, &body)).await, Ok(Ok(()))) {
-                return;
+            let delivered = timeout(CALLBACK_TIMEOUT, post_callback(address, &body)).await;
+            let mut pause = CALLBACK_RETRY_PAUSE;
+            if matches!(delivered, Ok(Ok(()))) {
+                let Some(repeat_delay) = self.callback_faults.repeat_delay() else { return };
+                pause = repeat_delay;
             }
-            sleep(CALLBACK_RETRY_PAUSE).await;
+            sleep(pause).await;
         }
     }
 }
--- a/tests/fault_injection.rs
+++ b/tests/fault_injection.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use chutesaddle_fault_injection::agreement;
+use chutesaddle_fault_injection::callbacks;
 use chutesaddle_fault_injection::gossip::{run, Scenario};
 use chutesaddle_fault_injection::plan::FaultPlan;
+use chutesaddle_test_doubles::CallbackFaultRates;
 
 /// Runs a plan in its own directory. Fails if an invariant is violated or if no fault affected a datagram.
 fn assert_invariants_hold(name: &str, seed: u64, plan: &FaultPlan) {
@@ -43,6 +45,22 @@
     assert_invariants_hold("written", 12, &FaultPlan::parse("plan.kdl", plan, 4).unwrap());
 }
 
+/// Guards against callbacks that, when they are repeated or late, end a later attempt of their request: the request then
+/// runs twice, or is rejected though it ran.
+#[test]
+fn repeated_callbacks_neither_lose_nor_duplicate_requests() {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("trial-callbacks-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let faults = CallbackFaultRates { handed_back: 0.25, lost: 0.1, answer_lost: 0.5 };
+    let scenario = callbacks::Scenario { seed: 11, workers: 1, seconds: 10, load: 0.6, faults };
+    let program = Path::new(env!("CARGO_BIN_EXE_chutesaddle"));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let local = tokio::task::LocalSet::new();
+    let report = local.block_on(&runtime, callbacks::run(program, &dir, &scenario)).unwrap();
+    assert_eq!(report.violations(), Vec::<String>::new(), "{report:?}");
+    assert!(report.served > 0 && report.ambiguous > 0, "the faults had no effect: {report:?}");
+}
+
 /// Guards against split brain and lost updates in the replicated register: with drifting clocks and lost disks, two
 /// members could otherwise act on different versions, or a committed version could disappear.
 #[test]
