Return an unsent request to the scheduler only when its link has ended

Cause: a request whose offer is queued on a link counted as "never sent" when its deadline was near, or when a second link replaced the first. Its frame could still be written after that, and the peer ran it, while the local scheduler ran it too or had rejected it.

Change: only the end of its link returns an unsent request. Near its deadline it is answered by idempotency and cancelled; when its link is replaced it stays on the old link until that has ended, and is resumed on the new one if it was written meanwhile.

--- a/crates/gateway/src/forwarded_request.rs
+++ b/crates/gateway/src/forwarded_request.rs
@@ -9,11 +9,15 @@
 //! | accepted | accepted | accepted | – | – |
 //! | link down | to scheduler | in doubt | in doubt | in doubt |
 //! | status received | – | – | – | accepted |
-//! | peer restarted, deadline near | to scheduler | by idempotency | by idempotency | by idempotency |
+//! | peer restarted | – | by idempotency | by idempotency | by idempotency |
+//! | deadline near | by idempotency | by idempotency | by idempotency | by idempotency |
 //! | outcome forgotten | by idempotency | by idempotency | by idempotency | by idempotency |
 //! | returned, status never received | to scheduler | to scheduler | to scheduler | to scheduler |
 //! | ended | answered | answered | answered | answered |
 //!
+//! Of an unsent request only the end of its link shows that it never will be sent; until then its frame is queued and may
+//! be written at any moment.
+//!
 //! *To scheduler*: the request never ran, and the local scheduler continues with it. *By idempotency*: the
 //! request may have run; the answer is "rejected" if a retry is harmless, otherwise "failed". *Answered*: the
 //! outcome decides whether the client gets the result or a failure, or one of the other two applies.
@@ -28,7 +32,7 @@
 /// The progress of a forwarded request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ForwardingStage {
-    /// The frame is not fully written, so the request has not run anywhere.
+    /// The frame is queued or partly written, so the request has not run anywhere.
     Unsent,
     /// The last byte is written, so the request may run.
     Sent,
@@ -108,13 +112,14 @@
                     self.enter(ForwardingStage::InDoubt)
                 }
             },
-            Transition::PeerRestarted | Transition::DeadlineNear => match self.stage {
-                // The request was not sent, so the scheduler can still place or reject it.
-                ForwardingStage::Unsent => Decision::ReturnToScheduler,
+            Transition::PeerRestarted => match self.stage {
+                // The end of the link to the earlier process follows.
+                ForwardingStage::Unsent => Decision::Wait,
                 ForwardingStage::Sent | ForwardingStage::Accepted | ForwardingStage::InDoubt => {
                     self.answer_by_idempotency(false)
                 }
             },
+            Transition::DeadlineNear => self.answer_by_idempotency(false),
         }
     }
 
--- a/crates/gateway/src/gateway/links.rs
+++ b/crates/gateway/src/gateway/links.rs
@@ -60,21 +60,42 @@
         incarnation: Incarnation,
         actions: &mut Vec<Action>,
     ) {
-        self.replace_outbound_links(site, incarnation, actions);
+        let replaced = self.replace_outbound_links(site, incarnation, actions);
         let new = OutboundLink { site, incarnation, credit: Credit::default(), round_trip: None, open: 0 };
         self.outbound_links.insert(link, new);
+        for old in replaced {
+            self.lose_sent_requests(old, actions);
+        }
         self.resume_in_doubt(link, site, incarnation, actions);
     }
 
-    /// Closes older links to the same incarnation. A second link replaces the first, which must be dead even
-    /// if this side has not noticed.
-    fn replace_outbound_links(&mut self, site: SiteId, incarnation: Incarnation, actions: &mut Vec<Action>) {
+    /// Closes older links to the same incarnation, and returns them. A second link replaces the first, which must be
+    /// dead even if this side has not noticed.
+    fn replace_outbound_links(
+        &mut self,
+        site: SiteId,
+        incarnation: Incarnation,
+        actions: &mut Vec<Action>,
+    ) -> Vec<LinkId> {
         let is_same_peer = |link: &OutboundLink| (link.site, link.incarnation) == (site, incarnation);
         let replaced: Vec<LinkId> =
             self.outbound_links.iter().filter(|(_, link)| is_same_peer(link)).map(|(id, _)| *id).collect();
-        for old in replaced {
-            self.outbound_link_down(old, actions);
-            actions.push(Action::CloseLink(old));
+        for old in &replaced {
+            self.outbound_links.remove(old);
+            actions.push(Action::CloseLink(*old));
+        }
+        replaced
+    }
+
+    /// Puts the requests that were sent on a replaced link in doubt. Those that are not sent stay on it until it has
+    /// ended: before that they may still be written.
+    fn lose_sent_requests(&mut self, link: LinkId, actions: &mut Vec<Action>) {
+        for id in self.requests_on(link) {
+            let is_sent =
+                self.forwarded.get(&id).is_some_and(|request| request.stage != ForwardingStage::Unsent);
+            if is_sent {
+                self.advance(id, Transition::LinkDown, actions);
+            }
         }
     }
 
@@ -86,8 +107,9 @@
         incarnation: Incarnation,
         actions: &mut Vec<Action>,
     ) {
-        let is_in_doubt =
-            |request: &ForwardedRequest| request.site == site && request.stage == ForwardingStage::InDoubt;
+        let is_in_doubt = |request: &ForwardedRequest| {
+            request.site == site && request.stage == ForwardingStage::InDoubt && request.link != link
+        };
         let in_doubt: Vec<ForwardedRequestId> =
             self.forwarded.iter().filter(|(_, request)| is_in_doubt(request)).map(|(id, _)| *id).collect();
         let mut queried = Vec::new();
@@ -114,17 +136,30 @@
         }
     }
 
+    /// Handles the end of a link: nothing more is written on it. Requests that were written after the link had been
+    /// replaced are resumed on its replacement.
     pub(super) fn outbound_link_down(&mut self, link: LinkId, actions: &mut Vec<Action>) {
-        if self.outbound_links.remove(&link).is_none() {
-            return;
-        }
-        let is_on_link =
-            |request: &ForwardedRequest| request.link == link && request.stage != ForwardingStage::InDoubt;
-        let affected: Vec<ForwardedRequestId> =
-            self.forwarded.iter().filter(|(_, request)| is_on_link(request)).map(|(id, _)| *id).collect();
+        let was_replaced = self.outbound_links.remove(&link).is_none();
+        let affected = self.requests_on(link);
+        let peer = affected.first().and_then(|id| self.forwarded.get(id));
+        let peer = peer.map(|request| (request.site, request.incarnation));
         for id in affected {
             self.advance(id, Transition::LinkDown, actions);
         }
+        let Some((site, incarnation)) = peer.filter(|_| was_replaced) else { return };
+        let is_replacement = |link: &OutboundLink| (link.site, link.incarnation) == (site, incarnation);
+        let replacement =
+            self.outbound_links.iter().find(|(_, link)| is_replacement(link)).map(|(id, _)| *id);
+        if let Some(replacement) = replacement {
+            self.resume_in_doubt(replacement, site, incarnation, actions);
+        }
+    }
+
+    /// The open requests on a link that are not in doubt.
+    fn requests_on(&self, link: LinkId) -> Vec<ForwardedRequestId> {
+        let is_on_link =
+            |request: &ForwardedRequest| request.link == link && request.stage != ForwardingStage::InDoubt;
+        self.forwarded.iter().filter(|(_, request)| is_on_link(request)).map(|(id, _)| *id).collect()
     }
 
     pub(super) fn round_trip_measured(&mut self, link: LinkId, round_trip: Time) {
--- a/crates/gateway/tests/two_sites/link_failures.rs
+++ b/crates/gateway/tests/two_sites/link_failures.rs
@@ -52,6 +52,32 @@
     assert!(!pair.sites[0].gateway.bound_elsewhere(pair.now, &Bytes::from_static(b"k")));
 }
 
+/// The offer is queued when the deadline is near, and written after that. A request that had been returned to the
+/// scheduler by then would run at both sites.
+#[test]
+fn queued_request_is_not_returned_when_its_deadline_is_near() {
+    let mut pair = TwoSites::with_capacity();
+    pair.writes_blocked = true;
+    pair.offer_candidate(0, 1, with_key("k"));
+    pair.run(TIME_LEFT + ms(30));
+    assert!(!pair.history(0, 1).returned);
+    assert_eq!(pair.history(0, 1).answers, [ForwardedAnswer::Failed]);
+}
+
+/// A second link replaces the first, on which the offer is queued and written before it ends. The request is returned
+/// once the peer has said on the new link that it did not receive it.
+#[test]
+fn request_queued_on_a_replaced_link_is_not_returned_before_that_link_ends() {
+    let mut pair = TwoSites::with_capacity();
+    pair.writes_blocked = true;
+    pair.offer_candidate(0, 1, with_key("k"));
+    pair.dial(0);
+    assert!(!pair.history(0, 1).returned, "the offer may still be written");
+    pair.run(ms(50));
+    assert!(pair.history(0, 1).returned && pair.history(0, 1).runs == [0, 0]);
+    assert!(pair.history(0, 1).answers.is_empty());
+}
+
 #[test]
 fn answers_by_idempotency_after_a_peer_restart() {
     for (idempotency, answer) in
--- a/crates/gateway/tests/two_sites/property.rs
+++ b/crates/gateway/tests/two_sites/property.rs
@@ -23,6 +23,10 @@
     Run(u16),
     Disconnect(usize),
     Dial(usize),
+    /// A site dials though its link is up, and the new link replaces the old one.
+    DialAgain(usize),
+    /// Sockets stop or start to accept data. What is queued is written then.
+    BlockWrites(bool),
     /// All requests from the other site that run at a site end, with the outcome of this index.
     Finish(usize, u8),
     /// The client of a site's last request disconnects.
@@ -62,6 +66,8 @@
         3 => n().prop_map(Step::Overload),
         2 => n().prop_map(Step::Disconnect),
         4 => n().prop_map(Step::Dial),
+        2 => n().prop_map(Step::DialAgain),
+        2 => any::<bool>().prop_map(Step::BlockWrites),
         4 => (n(), 0..4u8).prop_map(|(n, outcome_index)| Step::Finish(n, outcome_index)),
         1 => n().prop_map(Step::DisconnectClient),
         1 => n().prop_map(Step::Restart),
@@ -138,6 +144,13 @@
             pair.disconnect(n);
             pair.dial(n);
         }
+        Step::DialAgain(n) => pair.dial(n),
+        Step::BlockWrites(blocked) => {
+            pair.writes_blocked = blocked;
+            if !blocked {
+                pair.write_queued_offers(None);
+            }
+        }
         Step::Finish(n, outcome_index) => finish(pair, n, outcome_index),
         Step::DisconnectClient(n) => {
             if let Some((&id, _)) = pair.sites[n].histories.iter().next_back() {
