Write nothing on a link after its end is reported, or after part of a frame

Cause: a link whose queue was full was first reported as down, whereupon the gateway ran the unwritten requests here; then its whole queue was written to the peer. Of a frame written in part the rest was left out, and the peer filled it with the next frame's first bytes.

Change: the link knows what is written. At its end the rest is discarded before the gateway is notified, and the last frame with the reason follows only a whole frame. A full queue keeps frames back instead of ending the link; a peer that reads nothing for the silence timeout ends it, and the time left in an offer is shorter by its wait. Frames have a checksum (XXH3), so a spoilt frame ends the link with its number and the reason; the protocol has version 2, and version 1 is rejected in the handshake with both versions named. wire_bytes.rs has the bytes of version 2: bodies as before, the checksum pinned by a test of its own.

Property test over where writes are cut.

--- a/crates/site-link/src/config.rs
+++ b/crates/site-link/src/config.rs
@@ -8,7 +8,7 @@
     /// Interval between heartbeats. Default 200 ms: short compared to the lowest latency objective of a request class,
     /// and still cheap on an idle link.
     pub heartbeat: Duration,
-    /// A link ends if no frame is received for this time. Default 700 ms: three heartbeat intervals,
+    /// A link ends if no frame is received, or nothing can be written, for this time. Default 700 ms: three heartbeat intervals,
     /// plus 100 ms for a pause.
     pub silence_timeout: Duration,
     /// Maximum duration of the handshake. Default 2 s.
@@ -18,7 +18,7 @@
     /// Maximum frame size in bytes. Default 256 KiB: four times the 64 KiB limit of a body or result, to leave room
     /// for its headers.
     pub max_frame_bytes: usize,
-    /// Maximum number of bytes queued for writing. Default 1 MiB. Exceeding it ends the link.
+    /// Maximum number of bytes queued for writing. Default 1 MiB. Frames are kept back while the queue has no room.
     pub max_queued_bytes: usize,
 }
 
--- a/crates/site-link/src/error.rs
+++ b/crates/site-link/src/error.rs
@@ -30,6 +30,14 @@
     /// A frame cannot be encoded or decoded.
     #[error("malformed frame")]
     MalformedFrame,
+    /// A received frame is invalid. Frames are counted from 1.
+    #[error("received frame {number} is invalid: {fault}")]
+    InvalidFrame {
+        /// Number of the frame since the handshake.
+        number: u64,
+        /// What is wrong with it.
+        fault: FrameFault,
+    },
     /// No frame was received within [`Config::silence_timeout`](crate::Config::silence_timeout).
     #[error("no frame received from the peer for {0:?}")]
     SilenceTimeout(Duration),
@@ -42,7 +50,41 @@
         /// Maximum length of the queue in bytes.
         max: usize,
     },
+    /// Nothing could be written within [`Config::silence_timeout`](crate::Config::silence_timeout).
+    #[error("the peer has read nothing for {0:?}")]
+    WriteStalled(Duration),
     /// The peer closed the link and gave this reason.
     #[error("closed by the peer: {0}")]
     ClosedByPeer(String),
 }
+
+/// What is wrong with a received frame.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FrameFault {
+    /// The frame exceeds the maximum size.
+    #[error("{length} bytes exceed the maximum of {max} bytes")]
+    TooLong {
+        /// Length of the body in bytes.
+        length: usize,
+        /// Maximum length in bytes.
+        max: usize,
+    },
+    /// The checksum differs from that of the received bytes.
+    #[error("the checksum does not match the {length} bytes received")]
+    ChecksumMismatch {
+        /// Length of the body in bytes.
+        length: usize,
+    },
+    /// The body cannot be decoded or has trailing bytes.
+    #[error("the body of {length} bytes cannot be decoded")]
+    Undecodable {
+        /// Length of the body in bytes.
+        length: usize,
+    },
+    /// The connection ended within the frame.
+    #[error("the connection ended after {received} bytes of it")]
+    CutOff {
+        /// Number of bytes received.
+        received: usize,
+    },
+}
--- a/crates/site-link/src/frame.rs
+++ b/crates/site-link/src/frame.rs
@@ -6,11 +6,14 @@
 use bytes::{Buf, Bytes, BytesMut};
 use chutesaddle_gateway::{Outcome, RemoteStatus, ReturnReason};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::LinkError;
+use crate::{FrameFault, LinkError};
 
 /// Size of the length prefix of a frame.
 const PREFIX_BYTES: usize = 4;
+/// Size of the length prefix and the checksum of a frame on an established link.
+pub(crate) const HEAD_BYTES: usize = PREFIX_BYTES + size_of::<u64>();
 
 /// A request offered to another site. Classes and tenants are identified by name, because their numbers differ between
 /// sites.
@@ -85,28 +88,75 @@
     Acknowledge(u64),
 }
 
-/// Encodes a frame with its length prefix.
+/// Encodes a frame of an established link, with its length and checksum.
 ///
 /// # Errors
-/// [`LinkError::FrameTooLong`] if the frame exceeds `max_bytes`, because the peer would close the link.
-pub(crate) fn encode(frame: &impl Serialize, max_bytes: usize) -> Result<Bytes, LinkError> {
+/// [`LinkError::FrameTooLong`] if the body exceeds `max_bytes`, because the peer would close the link.
+pub(crate) fn encode(frame: &Frame, max_bytes: usize) -> Result<Bytes, LinkError> {
+    let mut bytes = encode_after(HEAD_BYTES, frame, max_bytes)?;
+    let checksum = checksum(&bytes[HEAD_BYTES..]);
+    bytes[PREFIX_BYTES..HEAD_BYTES].copy_from_slice(&checksum.to_be_bytes());
+    Ok(bytes.into())
+}
+
+/// Removes the first frame of an established link from the received bytes and decodes it. Returns `None` while it is
+/// incomplete.
+///
+/// # Errors
+/// Returns what is wrong with the frame.
+pub(crate) fn decode(received: &mut BytesMut, max_bytes: usize) -> Result<Option<Frame>, FrameFault> {
+    let Some(head) = received.first_chunk::<HEAD_BYTES>() else { return Ok(None) };
+    let (prefix, expected) = head.split_at(PREFIX_BYTES);
+    let length = prefix.iter().fold(0, |length, byte| length << 8 | usize::from(*byte));
+    if length > max_bytes {
+        return Err(FrameFault::TooLong { length, max: max_bytes });
+    }
+    if received.len() < HEAD_BYTES + length {
+        return Ok(None);
+    }
+    if expected != checksum(&received[HEAD_BYTES..HEAD_BYTES + length]).to_be_bytes() {
+        return Err(FrameFault::ChecksumMismatch { length });
+    }
+    received.advance(HEAD_BYTES);
+    let body = received.split_to(length);
+    match postcard::take_from_bytes(&body) {
+        Ok((frame, [])) => Ok(Some(frame)),
+        Ok((_, [_, ..])) | Err(_) => Err(FrameFault::Undecodable { length }),
+    }
+}
+
+/// The checksum of a frame: over its body, with the body's length as the seed.
+fn checksum(body: &[u8]) -> u64 {
+    xxh3_64_with_seed(body, body.len() as u64)
+}
+
+/// Encodes a handshake message with its length prefix. It has no checksum, so that every version can read it.
+///
+/// # Errors
+/// [`LinkError::FrameTooLong`] if the message exceeds `max_bytes`.
+pub(crate) fn encode_handshake(message: &impl Serialize, max_bytes: usize) -> Result<Bytes, LinkError> {
+    Ok(encode_after(PREFIX_BYTES, message, max_bytes)?.into())
+}
+
+/// Encodes a message after a head of this size, which begins with the length of the body and is otherwise zero.
+fn encode_after(head_bytes: usize, message: &impl Serialize, max_bytes: usize) -> Result<Vec<u8>, LinkError> {
     let mut bytes =
-        postcard::to_extend(frame, vec![0; PREFIX_BYTES]).map_err(|_| LinkError::MalformedFrame)?;
-    let length = bytes.len() - PREFIX_BYTES;
+        postcard::to_extend(message, vec![0; head_bytes]).map_err(|_| LinkError::MalformedFrame)?;
+    let length = bytes.len() - head_bytes;
     if length > max_bytes {
         return Err(LinkError::FrameTooLong { length, max: max_bytes });
     }
     // Does not truncate: `length` is at most `max_bytes`, which is far below 4 GiB.
     bytes[..PREFIX_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
-    Ok(bytes.into())
+    Ok(bytes)
 }
 
-/// Removes the first frame from the received bytes and decodes it. Returns `None` while it is incomplete.
+/// Removes the first handshake message from the received bytes and decodes it. Returns `None` while it is incomplete.
 ///
 /// # Errors
-/// [`LinkError::FrameTooLong`] if the frame exceeds `max_bytes`, [`LinkError::MalformedFrame`] if it cannot be decoded
+/// [`LinkError::FrameTooLong`] if the message exceeds `max_bytes`, [`LinkError::MalformedFrame`] if it cannot be decoded
 /// or has trailing bytes.
-pub(crate) fn decode<T: for<'a> Deserialize<'a>>(
+pub(crate) fn decode_handshake<T: for<'a> Deserialize<'a>>(
     received: &mut BytesMut,
     max_bytes: usize,
 ) -> Result<Option<T>, LinkError> {
--- a/crates/site-link/src/handshake.rs
+++ b/crates/site-link/src/handshake.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-use crate::frame::{decode, encode};
+use crate::frame::{decode_handshake, encode_handshake};
 use crate::link::Link;
 use crate::{Config, LinkError, Time, VERSION};
 
@@ -131,7 +131,7 @@
     ) -> Result<(Self, Bytes), LinkError> {
         let LocalIdentity { site, incarnation, nonce, dialled } = local;
         let message = IdentityMessage { magic: MAGIC, version: VERSION, site, incarnation, nonce };
-        let own_message = encode(&message, MAX_MESSAGE_BYTES)?;
+        let own_message = encode_handshake(&message, MAX_MESSAGE_BYTES)?;
         let first_bytes = own_message.clone();
         let times_out_at = now + config.handshake_timeout;
         let received = BytesMut::new();
@@ -158,10 +158,10 @@
         if self.peer.is_none() {
             let Some(claim) = self.read_identity()? else { return Ok(HandshakeStep::Continue(to_write)) };
             let proof = ProofMessage(self.hmac(self.dialled, &claim.message).finalize().into_bytes().into());
-            to_write = encode(&proof, MAX_MESSAGE_BYTES)?;
+            to_write = encode_handshake(&proof, MAX_MESSAGE_BYTES)?;
             self.peer = Some(claim);
         }
-        let proof = decode::<ProofMessage>(&mut self.received, MAX_MESSAGE_BYTES)?;
+        let proof = decode_handshake::<ProofMessage>(&mut self.received, MAX_MESSAGE_BYTES)?;
         let (Some(proof), Some(claim)) = (proof, &self.peer) else {
             return Ok(HandshakeStep::Continue(to_write));
         };
@@ -177,12 +177,12 @@
     /// Decodes the peer's identity message. Returns `None` while it is incomplete.
     fn read_identity(&mut self) -> Result<Option<PeerClaim>, LinkError> {
         // Bytes that cannot be decoded are more likely another protocol than a faulty gateway.
-        let message = decode::<IdentityMessage>(&mut self.received, MAX_MESSAGE_BYTES)
+        let message = decode_handshake::<IdentityMessage>(&mut self.received, MAX_MESSAGE_BYTES)
             .map_err(|_| LinkError::OtherProtocol)?;
         let Some(message) = message else { return Ok(None) };
         message.check()?;
         let identity = PeerIdentity { site: message.site.clone(), incarnation: message.incarnation };
-        Ok(Some(PeerClaim { identity, message: encode(&message, MAX_MESSAGE_BYTES)? }))
+        Ok(Some(PeerClaim { identity, message: encode_handshake(&message, MAX_MESSAGE_BYTES)? }))
     }
 
     /// The proof required from one side: an HMAC over its role and both identity messages. `dialled` selects the side.
--- a/crates/site-link/tests/link.rs
+++ b/crates/site-link/tests/link.rs
@@ -4,7 +4,8 @@
 
 use chutesaddle_gateway::RemoteStatus;
 use chutesaddle_site_link::{
-    Config, Frame, Handshake, HandshakeStep, Link, LinkError, LocalIdentity, PeerIdentity, Secret,
+    Config, Frame, FrameFault, Handshake, HandshakeStep, Link, LinkError, LocalIdentity, OfferedRequest,
+    PeerIdentity, Secret,
 };
 use proptest::prelude::*;
 
@@ -87,8 +88,12 @@
     let (mut a, identity) = begin("a", true, SECRET);
     assert_eq!(a.input(NOW, b"GET / HTTP/1.1\r\n\r\n").err(), Some(LinkError::OtherProtocol));
     let (mut a, mut other) = (begin("a", true, SECRET).0, identity);
-    other[12] = 2; // the version follows the length and the magic
-    assert_eq!(a.input(NOW, &other).err(), Some(LinkError::UnsupportedVersion(2)));
+    for version in [1, 3] {
+        other[12] = version; // the version follows the length and the magic
+        let error = a.input(NOW, &other).err();
+        assert_eq!(error, Some(LinkError::UnsupportedVersion(u16::from(version))));
+        a = begin("a", true, SECRET).0;
+    }
 }
 
 #[test]
@@ -103,8 +108,10 @@
 /// Delivers all queued frames of one side to the other.
 fn deliver(from: &mut Link, to: &mut Link, now: Duration) -> Result<Vec<Frame>, LinkError> {
     let mut frames = Vec::new();
-    while let Some(transmit) = from.transmit() {
-        to.input(now, &transmit.bytes, &mut frames)?;
+    while !from.pending().is_empty() {
+        let bytes = from.pending().to_vec();
+        from.written(bytes.len());
+        to.input(now, &bytes, &mut frames)?;
     }
     Ok(frames)
 }
@@ -122,28 +129,153 @@
 }
 
 #[test]
-fn an_oversized_or_malformed_frame_ends_the_link() {
-    let ((mut a, _), _) = establish(SECRET, SECRET, 64).unwrap();
+fn an_invalid_frame_ends_the_link() {
     let max = Config::default().max_frame_bytes;
-    let length = (max as u32 + 1).to_be_bytes();
-    assert_eq!(a.input(NOW, &length, &mut Vec::new()), Err(LinkError::FrameTooLong { length: max + 1, max }));
+    let too_long = [&(max as u32 + 1).to_be_bytes()[..], &[0; 8]].concat();
+    let undecodable = frame_bytes(&[0xff, 0xff]);
+    let trailing_byte = frame_bytes(&[9, 6, 0]);
+    let mut spoilt = frame_bytes(&[9, 6]);
+    spoilt[13] ^= 1;
+    for (bytes, fault) in [
+        (too_long, FrameFault::TooLong { length: max + 1, max }),
+        (undecodable, FrameFault::Undecodable { length: 2 }),
+        (trailing_byte, FrameFault::Undecodable { length: 3 }),
+        (spoilt, FrameFault::ChecksumMismatch { length: 2 }),
+    ] {
+        let ((mut a, _), _) = establish(SECRET, SECRET, 64).unwrap();
+        let mut frames = Vec::new();
+        assert_eq!(a.input(NOW, &frame_bytes(&[9, 6]), &mut frames), Ok(()));
+        assert_eq!(a.input(NOW, &bytes, &mut frames), Err(LinkError::InvalidFrame { number: 2, fault }));
+        assert_eq!(frames, [Frame::Cancel(6)]);
+    }
     let ((mut a, _), _) = establish(SECRET, SECRET, 64).unwrap();
-    assert_eq!(a.input(NOW, &[0, 0, 0, 2, 0xff, 0xff], &mut Vec::new()), Err(LinkError::MalformedFrame));
     assert_eq!(
         a.send(&Frame::StatusQuery(vec![u64::MAX; max])),
         Err(LinkError::FrameTooLong { length: max * 10 + 4, max })
     );
 }
 
+/// A frame with this body.
+fn frame_bytes(body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let checksum = xxhash_rust::xxh3::xxh3_64_with_seed(body, length as u64);
+    [&(length as u32).to_be_bytes()[..], &checksum.to_be_bytes(), body].concat()
+}
+
+#[test]
+fn a_stream_that_ends_within_a_frame_is_an_error() {
+    let ((mut a, _), _) = establish(SECRET, SECRET, 64).unwrap();
+    assert_eq!(a.end_of_input(), None);
+    let frame = frame_bytes(&[9, 6]);
+    a.input(NOW, &frame[..13], &mut Vec::new()).unwrap();
+    let fault = FrameFault::CutOff { received: 13 };
+    assert_eq!(a.end_of_input(), Some(LinkError::InvalidFrame { number: 1, fault }));
+    a.input(NOW, &frame[13..], &mut Vec::new()).unwrap();
+    assert_eq!(a.end_of_input(), None);
+}
+
+/// A peer that sends heartbeats but reads nothing must not keep queued requests until their deadlines.
+#[test]
+fn a_link_on_which_nothing_can_be_written_ends() {
+    let ((mut a, _), (mut b, _)) = establish(SECRET, SECRET, 64).unwrap();
+    let silence = Config::default().silence_timeout;
+    a.send(&Frame::Cancel(1)).unwrap();
+    a.tick(NOW).unwrap();
+    for (number, wait) in [silence / 2, silence].into_iter().enumerate() {
+        let now = NOW + wait;
+        b.tick(now).unwrap_or(());
+        deliver(&mut b, &mut a, now).unwrap();
+        let expected = if number == 0 { Ok(()) } else { Err(LinkError::WriteStalled(silence)) };
+        assert_eq!(a.tick(now), expected);
+    }
+    a.written(1);
+    assert_eq!(a.tick(NOW + silence), Ok(()), "a byte was written");
+}
+
+/// Frames of the caller are kept back while the queue is full, and heartbeats still find room.
+#[test]
+fn heartbeats_find_room_in_a_queue_that_takes_no_more_frames() {
+    let ((mut a, _), _) = establish(SECRET, SECRET, 64).unwrap();
+    let frame = Frame::StatusQuery(vec![u64::MAX; 20_000]);
+    let mut queued = 0;
+    while a.has_room() {
+        a.send(&frame).unwrap();
+        queued += 1;
+    }
+    assert!(queued >= 3, "{queued}");
+    while a.send(&frame).is_ok() {}
+    assert_eq!(a.tick(NOW), Ok(()));
+}
+
 #[test]
 fn bounds_the_queue_of_a_peer_that_does_not_read() {
     let ((mut a, _), _) = establish(SECRET, SECRET, 64).unwrap();
     let frame = Frame::StatusQuery(vec![u64::MAX; 20_000]);
     let sent = (0..100).take_while(|_| a.send(&frame).is_ok()).count();
-    assert_eq!(sent, Config::default().max_queued_bytes / 200_008);
+    assert_eq!(sent, Config::default().max_queued_bytes / 200_016);
+}
+
+/// Why a link ends in the property test below.
+#[derive(Clone, Copy, Debug)]
+enum LinkEnd {
+    /// This side closes the link and tells the peer why.
+    ClosedWithReason,
+    /// The connection has failed, or the peer has closed it.
+    ClosedWithoutReason,
+}
+
+/// The offer of a request whose body is filled with its number.
+fn offer(forwarded: u64, body_bytes: usize) -> Frame {
+    let request = OfferedRequest {
+        class: "draw".into(),
+        tenant: String::new(),
+        estimated_work_s: None,
+        slots: 1.0,
+        memory: 0.0,
+        request_id: forwarded.to_string().into(),
+        target: "/draw".into(),
+        key: None,
+        content_type: None,
+        body: vec![forwarded as u8; body_bytes].into(),
+    };
+    let request = Box::new(request);
+    Frame::Offer { forwarded, epoch: 1, time_left_us: 1, keep_outcome_us: 1, request }
 }
 
 proptest! {
+    /// The link ends after any number of bytes. What the sender reports as written is what the receiver gets, unchanged:
+    /// an offer that is reported as not written never arrives, and nothing else arrives in its place.
+    #[test]
+    fn offers_reported_as_not_written_never_arrive(
+        bodies in prop::collection::vec(0..300usize, 1..20),
+        writes in prop::collection::vec(1..400usize, 0..20),
+        end in prop_oneof![Just(LinkEnd::ClosedWithReason), Just(LinkEnd::ClosedWithoutReason)],
+    ) {
+        let ((mut sender, _), (mut receiver, _)) = establish(SECRET, SECRET, 64).unwrap();
+        let offers: Vec<Frame> =
+            bodies.iter().enumerate().map(|(number, bytes)| offer(number as u64, *bytes)).collect();
+        offers.iter().for_each(|offer| sender.send(offer).unwrap());
+        let (mut wire, mut reported) = (Vec::new(), 0);
+        for count in writes {
+            let count = count.min(sender.pending().len());
+            wire.extend_from_slice(&sender.pending()[..count]);
+            if let Some(forwarded) = sender.written(count) {
+                prop_assert_eq!(forwarded, reported);
+                reported += 1;
+            }
+        }
+        let reason = match end {
+            LinkEnd::ClosedWithReason => Some("closing".to_owned()),
+            LinkEnd::ClosedWithoutReason => None,
+        };
+        wire.extend(sender.end(reason).unwrap_or_default());
+        prop_assert!(sender.pending().is_empty(), "nothing is written after the end");
+        let mut received = Vec::new();
+        let result = receiver.input(NOW, &wire, &mut received);
+        prop_assert!(matches!(result, Ok(()) | Err(LinkError::ClosedByPeer(_))), "{:?}", result);
+        prop_assert_eq!(&received[..], &offers[..reported as usize]);
+    }
+
     /// For any bytes received, a link returns frames or an error, and no more frames than the bytes can contain.
     #[test]
     fn does_not_panic_on_arbitrary_bytes(chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..64), 0..40)) {
--- a/crates/site-link/tests/wire_bytes.rs
+++ b/crates/site-link/tests/wire_bytes.rs
@@ -1,5 +1,6 @@
-//! The bytes of the protocol as written by revision 84881d9. The two sides of a link may run different revisions that
-//! share a protocol version, so types must keep this encoding when they are renamed.
+//! The bytes of the protocol. The two sides of a link may run different revisions that share a protocol version, so types
+//! must keep this encoding when they are renamed. Bodies and handshakes are as revision 84881d9 wrote them, but for the
+//! version in the handshake; version 2 has a checksum between the length and the body of a frame.
 
 use std::fmt::Write;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 
 const NOW: Duration = Duration::from_secs(1);
 
-/// Each frame type, with each variant of its payload, and the encoded bytes in hexadecimal.
+/// Each frame type, with each variant of its payload, and its length and body in hexadecimal.
 fn frames() -> Vec<(Frame, &'static str)> {
     let result = Outcome::Served(Bytes::from_static(b"map"));
     vec![
@@ -60,6 +61,13 @@
     OfferedRequest { estimated_work_s: None, key: None, content_type: None, ..request_with_optional_fields() }
 }
 
+/// Adds the checksum to the length and the body of a frame.
+fn with_checksum(length_and_body: &[u8]) -> Vec<u8> {
+    let (length, body) = length_and_body.split_at(4);
+    let checksum = xxhash_rust::xxh3::xxh3_64_with_seed(body, body.len() as u64);
+    [length, &checksum.to_be_bytes(), body].concat()
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().fold(String::new(), |mut text, byte| {
         write!(text, "{byte:02x}").unwrap();
@@ -67,6 +75,11 @@
     })
 }
 
+fn from_hex(text: &str) -> Vec<u8> {
+    let byte = |at| u8::from_str_radix(&text[at..at + 2], 16).unwrap();
+    (0..text.len()).step_by(2).map(byte).collect()
+}
+
 fn begin(site: &str, dialled: bool) -> (Handshake, Bytes) {
     let local = LocalIdentity { site: site.into(), incarnation: 5, nonce: [u8::from(dialled); 16], dialled };
     Handshake::begin(NOW, Config::default(), Secret::new("a secret of enough bytes").unwrap(), local).unwrap()
@@ -92,23 +105,29 @@
     let (mut link, ..) = link();
     for (frame, expected) in frames() {
         link.send(&frame).unwrap();
-        let written = link.transmit().unwrap();
-        assert_eq!(hex(&written.bytes), expected, "{frame:?}");
+        assert_eq!(hex(link.pending()), hex(&with_checksum(&from_hex(expected))), "{frame:?}");
+        let length = link.pending().len();
+        link.written(length);
     }
 }
 
+/// Guards the checksum itself, whose value the other tests compute in the same way as the product.
+#[test]
+fn checksum_has_its_bytes() {
+    let (mut link, ..) = link();
+    link.send(&Frame::Cancel(6)).unwrap();
+    assert_eq!(hex(link.pending()), "0000000297bf10513bdcd29f0906");
+}
+
 #[test]
 fn decodes_frames_as_before() {
     for (frame, bytes) in frames() {
-        let written: Vec<u8> = (0..bytes.len())
-            .step_by(2)
-            .map(|at| u8::from_str_radix(&bytes[at..at + 2], 16).unwrap())
-            .collect();
+        let written = with_checksum(&from_hex(bytes));
         let (mut link, ..) = link();
         let mut read = Vec::new();
         let result = link.input(NOW, &written, &mut read);
         match frame {
-            Frame::Ping(_) => assert!(result.is_ok() && link.transmit().is_some(), "no pong was queued"),
+            Frame::Ping(_) => assert!(result.is_ok() && !link.pending().is_empty(), "no pong was queued"),
             Frame::Pong(_) => {
                 assert!(result.is_ok() && link.round_trip().is_some(), "no round trip was measured")
             }
@@ -121,13 +140,13 @@
 #[test]
 fn encodes_handshakes_as_before() {
     let (_, dialler_proof, accepter_proof) = link();
-    assert_eq!(hex(&begin("a", true).1), "0000001c63687574656c6e6b0101610501010101010101010101010101010101");
+    assert_eq!(hex(&begin("a", true).1), "0000001c63687574656c6e6b0201610501010101010101010101010101010101");
     assert_eq!(
         hex(&dialler_proof),
-        "000000207119dff67ea865b0c7226b9f4f6e93134c8099c315571d2b8412cb8ce673d2d5"
+        "000000200539ccb5166fe15ad75a09cb8584783c7f344fd9c9378fc4a76a57d1c669b97f"
     );
     assert_eq!(
         hex(&accepter_proof),
-        "00000020cf5c8e764198566b44592df871f5afa404ecbc019a154969021d74bb6c701cc5"
+        "0000002041ac714f69a3528be2034dcf6b91b5fa614a4d6f516e020e1e55899075e131fd"
     );
 }
--- a/src/server/peers/site_links/frames.rs
+++ b/src/server/peers/site_links/frames.rs
@@ -5,14 +5,14 @@
 
 use bytes::BytesMut;
 use chutesaddle_gateway::LinkId;
-use chutesaddle_site_link::{Frame, Link, LinkError, Transmit};
+use chutesaddle_site_link::{Frame, Link, LinkError};
 use tokio::io::{split, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::time::{sleep_until, timeout};
 
 use super::dialer::PeerAddressWatch;
 use super::handshake::EstablishedLink;
 use super::links::{CloseReason, Direction, SiteLinks, READ_BYTES};
-use crate::server::peers::site_messages::{LinkOutbox, OutboxReceiver, SiteLinkEvent};
+use crate::server::peers::site_messages::{LinkOutbox, OutboxReceiver, QueuedFrame, SiteLinkEvent};
 
 /// Write timeout for the last frame of a link, which tells the peer the close reason.
 const BYE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -37,37 +37,25 @@
             dialled: direction == Direction::Dialled,
             outbox,
         });
-        let mut driver =
-            LinkDriver { links: self, id, link, pending_write: None, frames: Vec::new(), round_trip: None };
+        let mut driver = LinkDriver { links: self, id, link, frames: Vec::new(), round_trip: None };
         let reason = driver.run(&mut stream, outbox_receiver, address_watch).await;
+        // Before the gateway is notified: it then takes back the requests whose offers are not written.
+        let last_bytes = driver.link.end(reason.should_notify_peer().then(|| reason.to_string()));
         self.notify(SiteLinkEvent::Down(id));
-        if reason.should_notify_peer() {
-            send_close_reason(&mut stream, &mut driver.link, &reason).await;
+        if let Some(last_bytes) = last_bytes {
+            send_close_reason(&mut stream, &last_bytes).await;
         }
         reason
     }
 }
 
 /// Notifies the peer of the close reason, which it logs. Best effort: the peer may be gone or no longer reading.
-async fn send_close_reason<S: AsyncRead + AsyncWrite + Unpin>(
-    stream: &mut S,
-    link: &mut Link,
-    reason: &CloseReason,
-) {
-    let _ = link.send(&Frame::Bye(reason.to_string())); // fails if the queue is full: the reason is then not sent
-    let write_queued = async {
-        while let Some(transmit) = link.transmit() {
-            stream.write_all(&transmit.bytes).await?;
-        }
+async fn send_close_reason<S: AsyncWrite + Unpin>(stream: &mut S, last_bytes: &[u8]) {
+    let write = async {
+        stream.write_all(last_bytes).await?;
         stream.shutdown().await
     };
-    let _ = timeout(BYE_TIMEOUT, write_queued).await; // the link is closed in any case
-}
-
-/// A frame that has not been written completely.
-struct PendingWrite {
-    transmit: Transmit,
-    written: usize,
+    let _ = timeout(BYE_TIMEOUT, write).await; // the link is closed in any case
 }
 
 /// Drives the I/O of one link.
@@ -75,7 +63,6 @@
     links: &'a SiteLinks,
     id: LinkId,
     link: Box<Link>,
-    pending_write: Option<PendingWrite>,
     /// Scratch buffer for received frames. Empty between calls.
     frames: Vec<Frame>,
     /// The round-trip time last reported to the engine.
@@ -94,12 +81,11 @@
         let (mut reader, mut writer) = split(stream);
         let mut buffer = BytesMut::with_capacity(READ_BYTES);
         loop {
-            self.next_write();
             let next_tick_at = self.links.time_origin + self.link.due();
             let result = tokio::select! {
-                written = write_some(&mut writer, self.pending_write.as_ref()) => self.handle_written(written),
+                written = write_some(&mut writer, self.link.pending()) => self.handle_written(written),
                 count = reader.read_buf(&mut buffer) => self.handle_read(count, &mut buffer),
-                frame = outbox_receiver.recv() => self.send(frame),
+                frame = outbox_receiver.recv(), if self.link.has_room() => self.send(frame),
                 () = sleep_until(next_tick_at) => self.link.tick(self.links.now()).map_err(CloseReason::from),
                 () = address_changed(address_watch) => Err(CloseReason::Closed),
             };
@@ -110,35 +96,22 @@
         }
     }
 
-    fn next_write(&mut self) {
-        if self.pending_write.is_some() {
-            return;
-        }
-        let Some(transmit) = self.link.transmit() else { return };
-        self.pending_write = Some(PendingWrite { transmit, written: 0 });
-    }
-
     fn handle_written(&mut self, written: io::Result<usize>) -> Result<(), CloseReason> {
         let count = written?;
         if count == 0 {
             return Err(CloseReason::Io(io::ErrorKind::WriteZero.into()));
         }
-        let Some(pending) = &mut self.pending_write else { return Ok(()) };
-        pending.written += count;
-        if pending.written < pending.transmit.bytes.len() {
-            return Ok(());
-        }
-        if let Some(request) = pending.transmit.offered {
+        if let Some(request) = self.link.written(count) {
             self.links.notify(SiteLinkEvent::OfferWritten { link: self.id, request });
         }
-        self.pending_write = None;
         Ok(())
     }
 
     /// Passes received frames to the engine, including those that precede a malformed frame.
     fn handle_read(&mut self, count: io::Result<usize>, buffer: &mut BytesMut) -> Result<(), CloseReason> {
         if count? == 0 {
-            return Err(CloseReason::Io(io::ErrorKind::UnexpectedEof.into()));
+            let end_of_stream = CloseReason::Io(io::ErrorKind::UnexpectedEof.into());
+            return Err(self.link.end_of_input().map_or(end_of_stream, CloseReason::CutOff));
         }
         let result = self.link.input(self.links.now(), buffer, &mut self.frames);
         buffer.clear();
@@ -149,9 +122,9 @@
     }
 
     /// Queues a frame from the engine for writing. `None` means that the engine has closed the link.
-    fn send(&mut self, frame: Option<Frame>) -> Result<(), CloseReason> {
+    fn send(&mut self, frame: Option<QueuedFrame>) -> Result<(), CloseReason> {
         let Some(frame) = frame else { return Err(CloseReason::Closed) };
-        Ok(self.link.send(&frame)?)
+        Ok(self.link.send(&frame.into_frame())?)
     }
 
     fn report_round_trip(&mut self) {
@@ -166,15 +139,12 @@
     }
 }
 
-/// Writes as much of the pending frame as the stream accepts. Never completes if no frame is pending.
-async fn write_some<W: AsyncWrite + Unpin>(
-    writer: &mut W,
-    pending: Option<&PendingWrite>,
-) -> io::Result<usize> {
-    match pending {
-        Some(pending) => writer.write(&pending.transmit.bytes[pending.written..]).await,
-        None => std::future::pending().await,
+/// Writes as many of the pending bytes as the stream accepts. Never completes if there are none.
+async fn write_some<W: AsyncWrite + Unpin>(writer: &mut W, pending: &[u8]) -> io::Result<usize> {
+    if pending.is_empty() {
+        return std::future::pending().await;
     }
+    writer.write(pending).await
 }
 
 /// Waits until the operator changes the address of a dialled peer. Never completes for an accepted link.
@@ -189,8 +159,13 @@
     /// Whether to send the reason to the peer. False if the connection failed or the peer itself closed the link.
     fn should_notify_peer(&self) -> bool {
         match self {
-            CloseReason::Io(_) | CloseReason::Link(LinkError::ClosedByPeer(_)) => false,
+            CloseReason::Io(_) | CloseReason::CutOff(_) | CloseReason::Link(LinkError::ClosedByPeer(_)) => {
+                false
+            }
             CloseReason::Link(_) | CloseReason::Random(_) | CloseReason::Closed => true,
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/server/peers/site_links/links.rs
+++ b/src/server/peers/site_links/links.rs
@@ -28,6 +28,9 @@
     /// The peer violated the protocol, timed out, or closed the link with a reason.
     #[error(transparent)]
     Link(#[from] LinkError),
+    /// The peer's connection ended within a frame.
+    #[error(transparent)]
+    CutOff(LinkError),
     /// The connection failed or could not be established.
     #[error("connection error: {0}")]
     Io(#[from] io::Error),
--- a/src/server/peers/site_messages.rs
+++ b/src/server/peers/site_messages.rs
@@ -6,19 +6,39 @@
 use chutesaddle_gateway::{Config, LinkId, Origin};
 use chutesaddle_site_link::Frame;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::server::messages::FinalAnswer;
 
 /// Capacity of the queue from the engine to a link's task, in frames. The link itself limits the bytes queued for writing.
 const MAX_QUEUED_FRAMES: usize = 4096;
 
+/// A frame that waits for room in the link's own queue.
+#[derive(Debug)]
+pub struct QueuedFrame {
+    frame: Frame,
+    queued_at: Instant,
+}
+
+impl QueuedFrame {
+    /// Returns the frame to write now. The time left of an offered request is shorter by the wait.
+    pub fn into_frame(self) -> Frame {
+        let waited_us = self.queued_at.elapsed().as_micros() as u64;
+        let mut frame = self.frame;
+        if let Frame::Offer { time_left_us, .. } = &mut frame {
+            *time_left_us = time_left_us.saturating_sub(waited_us);
+        }
+        frame
+    }
+}
+
 /// The engine's side of a link: queues frames for sending. Dropping it closes the link.
 #[derive(Debug)]
-pub struct LinkOutbox(mpsc::Sender<Frame>);
+pub struct LinkOutbox(mpsc::Sender<QueuedFrame>);
 
 /// The link task's side: receives the frames that the engine queued for the peer. The task closes the link when
 /// the channel is closed.
-pub type OutboxReceiver = mpsc::Receiver<Frame>;
+pub type OutboxReceiver = mpsc::Receiver<QueuedFrame>;
 
 impl LinkOutbox {
     /// Creates a channel and returns both sides.
@@ -29,7 +49,7 @@
 
     /// Queues a frame. Returns false if the queue is full or the link has ended; the link must then be closed.
     pub fn send(&self, frame: Frame) -> bool {
-        self.0.try_send(frame).is_ok()
+        self.0.try_send(QueuedFrame { frame, queued_at: Instant::now() }).is_ok()
     }
 }
 
