Measure the throughput of a link between two sites

`cargo measure link` sends offers with bodies of 64 KiB over one TCP connection on loopback, both sides in one process.

--- a/crates/benchmarks/src/main.rs
+++ b/crates/benchmarks/src/main.rs
@@ -4,6 +4,7 @@
 
 mod gateway;
 mod gateway_price;
+mod link;
 mod sites;
 
 use std::process::ExitCode;
@@ -25,6 +26,8 @@
     Gateway(gateway::Arguments),
     /// CPU and latency overhead of an idle gateway, compared with a disabled one
     GatewayPrice(gateway_price::Arguments),
+    /// Throughput of a link between two sites on loopback
+    Link(link::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -37,6 +40,7 @@
         match arguments.benchmark {
             Benchmark::Gateway(arguments) => gateway::run(&arguments).await,
             Benchmark::GatewayPrice(arguments) => gateway_price::run(&arguments).await,
+            Benchmark::Link(arguments) => link::run(&arguments).await,
         }
     });
     match passed {
