--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -59,6 +59,7 @@
 pub mod slow_start;
 mod state;
 mod statistics;
+mod stored_request;
 mod timer;
 mod token_bucket;
 mod water_filling;
--- a/src/scheduling/request_table.rs
+++ b/src/scheduling/request_table.rs
@@ -1,7 +1,6 @@
 //! The requests that this scheduler must answer, their attempts, and the queue of requests waiting for a worker.
 //!
-//! Requests and attempts are handed over in an upgrade. `StoredRequest` and `StoredAttempt` are serialized by field
-//! position, so their fields must not be reordered.
+//! Requests and attempts are handed over in an upgrade, in the form that `stored_request.rs` defines.
 //!
 //! | state machine | states | transitions |
 //! | --- | --- | --- |
@@ -15,6 +14,7 @@
 use crate::scheduling::affinity::Locality;
 use crate::scheduling::identifiers::{RequestId, WorkerId};
 use crate::scheduling::request::{AttemptOutcome, Request};
+use crate::scheduling::stored_request::{StoredAttempt, StoredRequest};
 
 /// Progress of an attempt for which none has been reported.
 const NO_PROGRESS: f64 = -1.0;
@@ -120,58 +120,6 @@
     }
 }
 
-/// Serialized form of an [`Attempt`] in a handover.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct StoredAttempt {
-    worker: WorkerId,
-    sent_at: f64,
-    started_at: Option<f64>,
-    last_notified_at: f64,
-    progress: f64,
-    in_flight: bool,
-    may_have_run: bool,
-    locality: Option<Locality>,
-    failed: bool,
-    abandoned: bool,
-}
-
-impl From<Attempt> for StoredAttempt {
-    fn from(attempt: Attempt) -> Self {
-        StoredAttempt {
-            worker: attempt.worker,
-            sent_at: attempt.sent_at,
-            started_at: attempt.started_at,
-            last_notified_at: attempt.last_notified_at,
-            progress: attempt.progress,
-            in_flight: attempt.is_in_flight(),
-            may_have_run: attempt.may_have_run(),
-            locality: attempt.locality,
-            failed: attempt.has_failed(),
-            abandoned: attempt.is_abandoned(),
-        }
-    }
-}
-
-impl From<StoredAttempt> for Attempt {
-    fn from(stored: StoredAttempt) -> Self {
-        let state = match (stored.in_flight, stored.abandoned) {
-            (true, false) => AttemptState::InFlight,
-            (true, true) => AttemptState::Abandoned,
-            (false, _) => AttemptState::Ended { may_have_run: stored.may_have_run, failed: stored.failed },
-        };
-        Attempt {
-            worker: stored.worker,
-            sent_at: stored.sent_at,
-            started_at: stored.started_at,
-            last_notified_at: stored.last_notified_at,
-            progress: stored.progress,
-            state,
-            end_is_uncertain: false,
-            locality: stored.locality,
-        }
-    }
-}
-
 /// Phase of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RequestPhase {
@@ -278,65 +226,6 @@
     }
 }
 
-/// Serialized form of a [`TrackedRequest`] in a handover.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct StoredRequest {
-    request: Request,
-    work: f64,
-    objective_s: f64,
-    first_requested_at: f64,
-    priority: f64,
-    attempts: Vec<Attempt>,
-    uses_affinity: bool,
-    probe_rounds: i32,
-    next_probe_at: f64,
-    queued: bool,
-    closed: bool,
-    streaming: bool,
-}
-
-impl From<TrackedRequest> for StoredRequest {
-    fn from(tracked: TrackedRequest) -> Self {
-        StoredRequest {
-            request: tracked.request,
-            work: tracked.work,
-            objective_s: tracked.objective_s,
-            first_requested_at: tracked.first_requested_at,
-            priority: tracked.priority,
-            attempts: tracked.attempts,
-            uses_affinity: tracked.uses_affinity,
-            probe_rounds: tracked.probe_rounds,
-            next_probe_at: tracked.next_probe_at,
-            queued: tracked.queued,
-            closed: tracked.phase == RequestPhase::Closed,
-            streaming: tracked.phase == RequestPhase::Streaming,
-        }
-    }
-}
-
-impl From<StoredRequest> for TrackedRequest {
-    fn from(stored: StoredRequest) -> Self {
-        let phase = match (stored.closed, stored.streaming) {
-            (false, false) => RequestPhase::Open,
-            (false, true) => RequestPhase::Streaming,
-            (true, _) => RequestPhase::Closed,
-        };
-        TrackedRequest {
-            request: stored.request,
-            work: stored.work,
-            objective_s: stored.objective_s,
-            first_requested_at: stored.first_requested_at,
-            priority: stored.priority,
-            attempts: stored.attempts,
-            uses_affinity: stored.uses_affinity,
-            probe_rounds: stored.probe_rounds,
-            next_probe_at: stored.next_probe_at,
-            queued: stored.queued,
-            phase,
-        }
-    }
-}
-
 /// All tracked requests by id, and the queue of requests waiting for a worker.
 #[derive(Default)]
 pub(crate) struct RequestTable {
