Correct comments that the last read-through found wrong or incomplete

The phases of the process, the eviction class of a closing connection, when an unstarted attempt is replaced, a start time, and damaged blocks; two types named LoadedFiles have names of their own.

--- a/crates/trace/src/index.rs
+++ b/crates/trace/src/index.rs
@@ -149,7 +149,7 @@
         }
         let Some(header) = BlockHeader::parse(&bytes) else { return Ok(None) };
         if read_records(file, at, &header, &mut Vec::new()).is_err() {
-            return Ok(None); // damaged
+            return Ok(None); // damaged, or it could not be read
         }
         let end = at + BLOCK_HEADER_BYTES as u64 + u64::from(header.stored_bytes);
         Ok(Some(IntactBlock { entry: BlockEntry::new(at, &header), end }))
--- a/src/scheduling/overdue.rs
+++ b/src/scheduling/overdue.rs
@@ -40,7 +40,7 @@
     /// The attempt is overdue after this.
     overdue_s: f64,
     /// Where only capacity probes show load, an attempt that has not started is replaced after this. Infinite
-    /// where load reports are available: such an attempt is not replaced then.
+    /// elsewhere: without probes a late start may mean overload, which a replacement would aggravate.
     replace_unstarted_s: f64,
 }
 
--- a/src/server/frontend/connection_eviction.rs
+++ b/src/server/frontend/connection_eviction.rs
@@ -20,7 +20,8 @@
 /// of the variants must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum EvictionClass {
-    /// Has carried neither a request nor a callback, or its last response has been written.
+    /// Nothing is lost with it: it has carried neither a request nor a callback, or its last response has been written
+    /// and it is about to close.
     NeverUsed,
     /// Idle after a request.
     Idle,
--- a/src/server/lifecycle.rs
+++ b/src/server/lifecycle.rs
@@ -55,7 +55,7 @@
     Starting,
     /// The process admits requests.
     Serving,
-    /// Paused: requests in flight complete, new ones are rejected.
+    /// Paused: requests in flight complete. New ones are rejected once the admission window has closed.
     Draining,
     /// Paused, and no client request is left. Waits for RESUME.
     Drained,
@@ -219,7 +219,7 @@
     }
 
     /// The time by which a request must be answered if it was received completely only after the admission window of
-    /// SIGTERM. Any request still open when the platform kills the process is lost. `longest_deadline` is the longest
+    /// SIGTERM. It counts from the start of the drain, which is an earlier PAUSE if there was one. Any request still open when the platform kills the process is lost. `longest_deadline` is the longest
     /// deadline of any request class.
     pub fn shutdown_deadline(&self, longest_deadline: Duration) -> Option<Instant> {
         let admission_closed = Instant::now() > self.drain_started_at.get() + STOP_ADMISSION_WINDOW;
--- a/src/server/lifecycle/reload.rs
+++ b/src/server/lifecycle/reload.rs
@@ -34,15 +34,15 @@
 }
 
 /// Both configuration files, loaded and validated.
-struct LoadedFiles {
+struct ReloadedFiles {
     config: Config,
     site_links: Option<SiteLinkSettings>,
 }
 
-impl LoadedFiles {
+impl ReloadedFiles {
     fn load(config: &Path, operator: Option<&Path>) -> Result<Self, ReloadError> {
         let site_links = operator_file::load_optional(operator)?;
-        Ok(LoadedFiles { config: Config::load(config)?, site_links })
+        Ok(ReloadedFiles { config: Config::load(config)?, site_links })
     }
 }
 
@@ -88,16 +88,17 @@
     }
 
     /// Loads the files on a blocking thread, so that slow reads or parsing do not delay requests.
-    async fn read_files(&self) -> Result<LoadedFiles, ReloadError> {
+    async fn read_files(&self) -> Result<ReloadedFiles, ReloadError> {
         let config_path = self.config_path.clone();
         let operator_path = self.operator_path.clone();
-        tokio::task::spawn_blocking(move || LoadedFiles::load(&config_path, operator_path.as_deref())).await?
+        tokio::task::spawn_blocking(move || ReloadedFiles::load(&config_path, operator_path.as_deref()))
+            .await?
     }
 
     /// Applies the settings that can change at runtime. The endpoint list in the file is ignored because discovery has
     /// sent newer ones, and the seed because the random number generator has already been seeded.
-    fn apply(&mut self, files: LoadedFiles) {
-        let LoadedFiles { config, site_links } = files;
+    fn apply(&mut self, files: ReloadedFiles) {
+        let ReloadedFiles { config, site_links } = files;
         let changed_restart_only_keys = self.changed_restart_only_keys(&config);
         let ReconfiguredSettings { settings, lists_with_retained_names: mut unchanged } =
             self.settings.reconfigured(config.settings);
--- a/src/server/workers/endpoint.rs
+++ b/src/server/workers/endpoint.rs
@@ -33,6 +33,7 @@
     pub name: String,
     address: Cell<SocketAddr>,
     active: Cell<bool>,
+    /// When the worker last started, as listed; 0 for long ago.
     started_s: Cell<f64>,
     pool: ConnectionPool,
     /// Requests from this scheduler that the worker has accepted and not finished.
