Do not let repetitions of an uncertain end postpone the retry

Callers: with a worker that really ended an attempt and repeats the report, a retry would have come only after the last repetition, up to ten.

Cause: each report restarted the time after which the attempt counts as overdue.

Change: only the first report does, until the worker reports progress.

Result: two new cases in tests/endings.rs fail without the change (no cancellation in 2 s) and pass.

--- a/src/scheduling/attempt_progress.rs
+++ b/src/scheduling/attempt_progress.rs
@@ -90,11 +90,12 @@
     }
 
     /// Handles a report of an end that may be this attempt's or an earlier one's at the same worker. The attempt is
-    /// overdue unless the worker reports its progress from now on (`overdue.rs`).
+    /// overdue unless the worker reports its progress from now on (`overdue.rs`). A repetition of the report does not
+    /// extend that time.
     pub(crate) fn attempt_end_uncertain(&mut self, id: RequestId, attempt: usize) {
         let Some(tracked) = self.requests.all.get_mut(&id) else { return };
         let Some(attempt) = tracked.attempts.get_mut(attempt) else { return };
-        if attempt.is_in_flight() {
+        if attempt.is_in_flight() && !attempt.end_is_uncertain {
             attempt.end_is_uncertain = true;
             attempt.last_notified_at = self.now;
         }
--- a/src/server/engine/late_callbacks.rs
+++ b/src/server/engine/late_callbacks.rs
@@ -19,8 +19,9 @@
 }
 
 impl LateCallbacks {
-    /// The callbacks that may follow a callback with this end. Each attempt has one end, so only its repetitions follow,
-    /// except that the machine's agent may report a loss beside the worker's own callback.
+    /// The callbacks that may follow a callback with this end. The worker no longer holds a request that it handed back,
+    /// so it can only repeat that. After any other end the machine's agent may report a loss beside the worker's own
+    /// callback.
     pub(super) fn after_callback(end: AttemptEnd) -> Self {
         match end {
             AttemptEnd::RejectedByWorker => LateCallbacks::RejectedOnly,
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -171,13 +171,23 @@
     actions
 }
 
-/// The worker may hold the request no longer, though it reports on other requests. It must not wait until its deadline.
+/// The worker may hold the request no longer, though it reports on other requests. It must not wait until its deadline,
+/// even if the worker repeats the report.
 #[rstest]
 fn attempt_whose_end_is_uncertain_is_cancelled_if_its_worker_reports_no_progress(
     #[values(0, 3)] class: usize,
+    #[values(false, true)] repeats: bool,
 ) {
     let mut scheduler = scheduler_with_uncertain_end(class);
-    let actions = run_with_progress(&mut scheduler, None);
+    let mut actions = Vec::new();
+    for step in 1..=20 {
+        if repeats {
+            scheduler.send(Event::AttemptEndUncertain { request: RequestId(1), attempt: 0 });
+        }
+        let fraction = 0.01 * f64::from(step);
+        scheduler.send(Event::AttemptProgressed { request: RequestId(2), attempt: 0, fraction });
+        actions.extend(scheduler.run(0.1));
+    }
     assert_eq!(actions, [Action::Cancel { request: RequestId(1), attempt: 0 }]);
     assert_eq!(scheduler.dispatcher.ejected_count(), 0, "the worker is not silent");
 }
