--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -209,19 +209,20 @@
     Err("the scheduler is not ready after 10 s".into())
 }
 
+/// Returns whether STATUS on the second address answers +OK.
+pub fn says_yes(address: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(address) else { return false };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+    let mut answer = [0; 64];
+    let read = stream.write_all(b"STATUS\n").and_then(|()| stream.read(&mut answer)).unwrap_or(0);
+    answer[..read].starts_with(b"+OK")
+}
+
 /// Waits until STATUS on the second address answers +OK.
 pub fn wait_status(address: SocketAddr) -> Result<(), Error> {
     for _ in 0..1500 {
-        if let Ok(mut stream) = TcpStream::connect(address) {
-            stream.set_read_timeout(Some(Duration::from_secs(1)))?;
-            let mut answer = [0; 64];
-            if stream.write_all(b"STATUS\n").is_ok() {
-                if let Ok(read) = stream.read(&mut answer) {
-                    if answer[..read].starts_with(b"+OK") {
-                        return Ok(());
-                    }
-                }
-            }
+        if says_yes(address) {
+            return Ok(());
         }
         pause(20);
     }
@@ -378,6 +379,8 @@
 pub enum Treatment {
     /// Answers 202, runs for this long and says `done`.
     Run(Duration),
+    /// Answers 202, and after this time hands it back unstarted.
+    HandBack(Duration),
     /// Answers 500 to it, and once more after this time if there is one.
     Fail(Option<Duration>),
 }
@@ -518,6 +521,17 @@
                     let workers = Arc::clone(self);
                     spawn(move || workers.run(index, time));
                 }
+                Treatment::HandBack(time) => {
+                    stream.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")?;
+                    let workers = Arc::clone(self);
+                    spawn(move || {
+                        thread::sleep(time);
+                        if workers.is_held(index) {
+                            workers.end(index, "handed back");
+                            workers.tell(index, "\"state\":\"returned\"");
+                        }
+                    });
+                }
                 Treatment::Fail(again_after) => {
                     let answer = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
                     self.end(index, "answered with 500");
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod descriptors;
 mod fleet;
 mod outage;
+mod overlap;
 mod second_answer;
 mod zones;
 
@@ -44,6 +45,7 @@
         "descriptors" => descriptors::play(&place),
         "fleet" => fleet::play(&place),
         "outage" => outage::play(&place),
+        "overlap" => overlap::play(&place),
         "second-answer" => second_answer::play(&place),
         "zones" => zones::play(&place),
         _ => Err("no such case".into()),
