Show the descriptor budgets: four metrics, a counter and a log line

Change: METRICS ends with svc.descriptors.frontend and .workers, each with its limit; GET /counters ends with connections_delayed; a connection for which no descriptor is free, and for which nothing can be evicted, is logged (sampled) with in_use and limit.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -170,10 +170,12 @@
 
 impl SharedState {
     fn new(config: &Config) -> Self {
+        let counters: Rc<Counters> = Rc::default();
+        let budgets = DescriptorBudgets::new(config.descriptor_limit, &counters.descriptors);
         SharedState {
-            counters: Rc::default(),
+            counters,
             lifecycle: Rc::default(),
-            budgets: Rc::new(DescriptorBudgets::new(config.descriptor_limit)),
+            budgets: Rc::new(budgets),
             peers: PeerProcesses::default(),
         }
     }
--- a/src/server/descriptor_budget.rs
+++ b/src/server/descriptor_budget.rs
@@ -8,6 +8,8 @@
 
 use tokio::sync::Notify;
 
+use crate::server::metrics::{BudgetMetrics, DescriptorMetrics};
+
 /// Tenths of the descriptors for connections from clients and for workers' callbacks.
 const FRONTEND_TENTHS: usize = 6;
 /// Tenths of the descriptors for connections to workers. The remaining tenth is for the operator interface, discovery,
@@ -25,12 +27,12 @@
 
 impl DescriptorBudgets {
     /// Splits `limit` descriptors for a single process.
-    pub fn new(limit: usize) -> Self {
+    pub fn new(limit: usize, metrics: &DescriptorMetrics) -> Self {
         let budgets = DescriptorBudgets {
             limit: Cell::new(limit),
             processes: Cell::new(1),
-            frontend: DescriptorBudget::new(0),
-            workers: DescriptorBudget::new(0),
+            frontend: DescriptorBudget::with_metrics(0, Rc::clone(&metrics.frontend)),
+            workers: DescriptorBudget::with_metrics(0, Rc::clone(&metrics.workers)),
         };
         budgets.apply();
         budgets
@@ -66,17 +68,24 @@
 }
 
 /// A limited number of descriptors, of which some are in use.
-#[derive(Debug)]
 pub struct DescriptorBudget {
     limit: Cell<usize>,
     in_use: Cell<usize>,
     freed: Notify,
+    metrics: Rc<BudgetMetrics>,
 }
 
 impl DescriptorBudget {
     /// Creates a budget with no descriptor in use.
     pub fn new(limit: usize) -> Rc<Self> {
-        Rc::new(DescriptorBudget { limit: Cell::new(limit), in_use: Cell::new(0), freed: Notify::new() })
+        Self::with_metrics(limit, Rc::default())
+    }
+
+    /// Creates a budget with no descriptor in use, which keeps `metrics` up to date.
+    fn with_metrics(limit: usize, metrics: Rc<BudgetMetrics>) -> Rc<Self> {
+        metrics.limit.set(limit);
+        let (limit, in_use) = (Cell::new(limit), Cell::new(0));
+        Rc::new(DescriptorBudget { limit, in_use, freed: Notify::new(), metrics })
     }
 
     /// Acquires one descriptor. Returns `None` if all are in use.
@@ -84,7 +93,7 @@
         if this.in_use.get() >= this.limit.get() {
             return None;
         }
-        this.in_use.set(this.in_use.get() + 1);
+        this.set_in_use(this.in_use.get() + 1);
         Some(DescriptorPermit(Rc::clone(this)))
     }
 
@@ -93,6 +102,16 @@
         self.freed.notified().await;
     }
 
+    /// Returns the number of descriptors in use.
+    pub fn in_use(&self) -> usize {
+        self.in_use.get()
+    }
+
+    fn set_in_use(&self, in_use: usize) {
+        self.in_use.set(in_use);
+        self.metrics.in_use.set(in_use);
+    }
+
     /// Returns the maximum number of descriptors in use.
     pub fn limit(&self) -> usize {
         self.limit.get()
@@ -101,17 +120,17 @@
     /// Sets the maximum number of descriptors in use. Permits above a lowered limit stay valid until they are dropped.
     pub fn set_limit(&self, limit: usize) {
         self.limit.set(limit);
+        self.metrics.limit.set(limit);
         self.freed.notify_one(); // a raised limit frees descriptors
     }
 }
 
 /// One descriptor of a budget, released on drop.
-#[derive(Debug)]
 pub struct DescriptorPermit(Rc<DescriptorBudget>);
 
 impl Drop for DescriptorPermit {
     fn drop(&mut self) {
-        self.0.in_use.set(self.0.in_use.get() - 1);
+        self.0.set_in_use(self.0.in_use.get() - 1);
         self.0.freed.notify_one();
     }
 }
--- a/src/server/frontend/accept_loop.rs
+++ b/src/server/frontend/accept_loop.rs
@@ -55,6 +55,7 @@
 
     /// Acquires a permit for one more connection. If none is left, evicts another connection.
     pub(super) async fn acquire_permit(&self) -> DescriptorPermit {
+        let mut is_delayed = false;
         loop {
             if let Some(permit) = DescriptorBudget::try_acquire(&self.connections) {
                 return permit;
@@ -64,6 +65,8 @@
             yield_now().await;
             if self.eviction_candidates.evict_for_new_connection() {
                 self.counters.connections_shed.add();
+            } else if !std::mem::replace(&mut is_delayed, true) {
+                self.log_delayed_connection();
             }
             // The evicted connection may stay open because it received a message at that moment.
             if let Ok(permit) = timeout(RETRY_INTERVAL, self.next_freed_permit()).await {
@@ -72,6 +75,13 @@
         }
     }
 
+    fn log_delayed_connection(&self) {
+        if self.counters.connections_delayed.add().is_power_of_two() {
+            let (in_use, limit) = (self.connections.in_use(), self.connections.limit());
+            tracing::warn!(in_use, limit, "no descriptor is free for a connection");
+        }
+    }
+
     async fn next_freed_permit(&self) -> DescriptorPermit {
         loop {
             self.connections.freed().await;
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -7,6 +7,7 @@
 
 mod class_counters;
 mod counter;
+mod descriptor_metrics;
 mod gateway_metrics;
 
 #[cfg(test)]
@@ -20,6 +21,7 @@
 
 pub use class_counters::ClassCounters;
 pub use counter::{Counter, Gauge, GaugeGuard};
+pub use descriptor_metrics::{BudgetMetrics, DescriptorMetrics};
 pub use gateway_metrics::{GatewayMetrics, LinkMetrics};
 
 macro_rules! counters {
@@ -33,6 +35,8 @@
             pub ends: [Counter; AttemptEnd::ALL.len()],
             /// Callbacks with an end that is either the open attempt's or an earlier one's at the same worker.
             pub callbacks_ambiguous: Counter,
+            /// Connections that waited for a descriptor, because none was free and no connection could be evicted.
+            pub connections_delayed: Counter,
             /// Counters by class index, in the order of the settings.
             classes: RefCell<Vec<Rc<ClassCounters>>>,
             /// Metrics of the gateway to other sites.
@@ -43,6 +47,8 @@
             pub pool_size: Gauge,
             /// Ejected workers in the endpoint list.
             pub pool_ejected: Gauge,
+            /// Metrics of the descriptor budgets.
+            pub descriptors: DescriptorMetrics,
         }
 
         impl Counters {
@@ -153,7 +159,8 @@
             writeln!(f, "flows_ended_{} {}", end.name(), counter.get())?;
         }
         // Last, because programs may rely on the order of the other lines.
-        writeln!(f, "callbacks_ambiguous {}", self.callbacks_ambiguous.get())
+        writeln!(f, "callbacks_ambiguous {}", self.callbacks_ambiguous.get())?;
+        writeln!(f, "connections_delayed {}", self.connections_delayed.get())
     }
 }
 
@@ -169,12 +176,13 @@
         writeln!(f, "svc.active={}", counters.active.get())?;
         writeln!(f, "svc.pool_size={}", counters.pool_size.get())?;
         writeln!(f, "svc.pool_ejected={}", counters.pool_ejected.get())?;
-        if !counters.gateway.is_enabled() {
-            return Ok(());
-        }
-        for class in counters.classes.borrow().iter() {
-            writeln!(f, "svc.gateway.crossed.{}={}", class.name, class.crossed.get())?;
+        if counters.gateway.is_enabled() {
+            for class in counters.classes.borrow().iter() {
+                writeln!(f, "svc.gateway.crossed.{}={}", class.name, class.crossed.get())?;
+            }
+            counters.gateway.write_lines(f)?;
         }
-        counters.gateway.write_lines(f)
+        // Last, because programs may rely on the order of the other lines.
+        counters.descriptors.write_lines(f)
     }
 }
--- a/src/server/metrics/tests.rs
+++ b/src/server/metrics/tests.rs
@@ -57,6 +57,7 @@
 /// The names added since, which follow the others.
 const ADDED_COUNTERS: &str = "\
 callbacks_ambiguous 0
+connections_delayed 0
 ";
 
 const OPERATOR_METRICS: &str = "\
@@ -88,6 +89,14 @@
 svc.gateway.out.limit.b=7
 ";
 
+/// The metrics added since, which follow the others.
+const ADDED_METRICS: &str = "\
+svc.descriptors.frontend=0
+svc.descriptors.frontend.limit=0
+svc.descriptors.workers=0
+svc.descriptors.workers.limit=0
+";
+
 #[test]
 fn counters_keep_their_names_and_order() {
     assert_eq!(Counters::default().to_string(), format!("{COUNTERS}{ADDED_COUNTERS}"));
@@ -113,7 +122,8 @@
     class.crossed.add();
     counters.pool_size.set(3);
     let active = Gauge::count(&counters.active);
-    assert_eq!(counters.operator_metrics().to_string(), OPERATOR_METRICS);
+    let expected = format!("{OPERATOR_METRICS}{ADDED_METRICS}");
+    assert_eq!(counters.operator_metrics().to_string(), expected);
     counters.gateway.enable();
     counters.gateway.link("b", false, |_| {});
     counters.gateway.link("b", true, |link| {
@@ -121,7 +131,7 @@
         link.round_trip = Duration::from_millis(3);
         link.slot_limit = 7;
     });
-    let expected = format!("{OPERATOR_METRICS}{GATEWAY_METRICS}");
+    let expected = format!("{OPERATOR_METRICS}{GATEWAY_METRICS}{ADDED_METRICS}");
     assert_eq!(counters.operator_metrics().to_string(), expected);
     drop(active);
     assert!(counters.operator_metrics().to_string().contains("svc.active=0\n"));
