Share descriptors in an upgrade by what each process holds, not by halves

Cause: each process had half of the budgets while both lived. The requests that migrated used up the new process's half, and its accept loop waited for a permit that could not come free, while the old process kept a half that it did not use.

Evidence: the new process logs "no descriptor is free for a connection in_use=76 limit=76"; accept_failures stays 0. The new test fails before the change: no answer on a new connection in 10 s, in_use=9 limit=9.

Change: a process reports to its successor what it and the processes before it hold (DescriptorsReserved, frame format 4), and the successor may use the rest. An adopted connection takes its descriptor along and never waits. The bound on unanswered requests follows the share, not the shrinking limit of a replaced process.

--- a/src/server/frontend/connection_handoff.rs
+++ b/src/server/frontend/connection_handoff.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use super::client_connection::ClientConnection;
@@ -13,6 +14,7 @@
 use super::connection_state::ConnectionState;
 use super::request_handling::RequestOutcome;
 use super::{CountGuard, Frontend};
+use crate::server::descriptor_budget::DescriptorBudget;
 use crate::server::engine_queue::PendingAnswer;
 use crate::server::http::Connection;
 use crate::server::lifecycle::handover_frames::{FrameSender, HandoverFrame};
@@ -44,11 +46,14 @@
         self.successor.borrow().is_some()
     }
 
-    /// Serves an idle connection that the predecessor accepted.
-    pub async fn adopt(self: Rc<Self>, stream: TcpStream, eviction_class: EvictionClass, answered: bool) {
-        let _permit = self.acquire_permit().await;
+    /// Serves an idle connection that the predecessor accepted, in a task of its own.
+    pub fn adopt(self: Rc<Self>, stream: TcpStream, eviction_class: EvictionClass, answered: bool) {
+        let permit = DescriptorBudget::adopt(&self.connections);
         self.counters.connections_adopted.add();
-        self.serve(ClientConnection::new(Connection::new(stream), eviction_class, answered)).await;
+        spawn_local(async move {
+            self.serve(ClientConnection::new(Connection::new(stream), eviction_class, answered)).await;
+            drop(permit);
+        });
     }
 
     /// Hands an idle connection over to the successor. Bytes that the client sends meanwhile wait in the socket.
@@ -81,13 +86,20 @@
         }
     }
 
-    /// Serves a connection that the predecessor accepted and that has a pending request.
-    pub async fn adopt_with_request(self: Rc<Self>, stream: TcpStream, request: PendingRequest) {
+    /// Serves a connection that the predecessor accepted and that has a pending request, in a task of its own.
+    pub fn adopt_with_request(self: Rc<Self>, stream: TcpStream, request: PendingRequest) {
+        let permit = DescriptorBudget::adopt(&self.connections);
+        self.counters.connections_adopted.add();
+        spawn_local(async move {
+            self.serve_pending_request(stream, request).await;
+            drop(permit);
+        });
+    }
+
+    async fn serve_pending_request(&self, stream: TcpStream, request: PendingRequest) {
         let unanswered = CountGuard::increment(&self.unanswered);
         let slack = Duration::from_secs_f64(self.settings().answer_slack_s);
         let give_up_at = Instant::now() + request.time_left + slack;
-        let _permit = self.acquire_permit().await;
-        self.counters.connections_adopted.add();
         let mut connection = Connection::with_read_ahead(stream, &request.read_ahead);
         let outcome = self.await_answer(&mut connection, request.answer, give_up_at).await;
         let state = match outcome {
--- a/src/server/frontend/request_handling.rs
+++ b/src/server/frontend/request_handling.rs
@@ -141,7 +141,10 @@
     }
 
     /// Maximum number of unanswered messages: three quarters of the connections. The rest is reserved for callbacks.
+    /// A process that is being replaced counts with its whole share, because the requests that it still receives were
+    /// begun on connections that it already had.
     fn max_unanswered(&self) -> usize {
-        self.connections.limit() - self.connections.limit() / 4
+        let share = self.connections.share();
+        share - share / 4
     }
 }
--- a/src/server/lifecycle/handover.rs
+++ b/src/server/lifecycle/handover.rs
@@ -26,7 +26,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
-use crate::server::descriptor_budget::DescriptorBudgets;
+use crate::server::descriptor_budget::{DescriptorBudgets, SuccessorState};
 use crate::server::engine_queue::{EngineMessage, EngineQueue};
 use crate::server::frontend::connection_handoff::PendingRequest;
 use crate::server::frontend::Frontend;
@@ -63,7 +63,7 @@
     pub queue: EngineQueue,
     /// Links to the other processes of an upgrade.
     pub peers: PeerProcesses,
-    /// Descriptor budgets, divided among the linked processes.
+    /// Descriptor budgets, shared by the linked processes.
     pub budgets: Rc<DescriptorBudgets>,
     /// Counters. They show whether discovery has delivered an endpoint list.
     pub counters: Rc<Counters>,
@@ -91,9 +91,11 @@
         tracing::info!("taking over from the predecessor");
         let handover = Rc::clone(self);
         let peer = self.add_peer(predecessor.sender, ProcessRole::Predecessor);
+        self.budgets.predecessor_joined();
         spawn_local(async move {
             handover.receive(peer, predecessor.receiver).await;
-            handover.remove_peer(peer);
+            handover.peers.remove(peer);
+            handover.budgets.predecessor_exited();
             tracing::info!("the predecessor has exited");
         });
     }
@@ -132,9 +134,14 @@
             tracing::info!("a successor takes over");
             let (sender, receiver) = link(stream);
             sender.send(HandoverFrame::Listener, Some(listener));
-            let peer = self.add_peer(sender, ProcessRole::Successor);
-            self.receive(peer, receiver).await;
-            self.remove_peer(peer);
+            let peer = self.add_peer(sender.clone(), ProcessRole::Successor);
+            self.budgets.set_successor(SuccessorState::Starting);
+            tokio::select! {
+                () = self.receive(peer, receiver) => {}
+                () = self.report_reservation(&sender) => {}
+            }
+            self.peers.remove(peer);
+            self.budgets.set_successor(SuccessorState::Absent);
             let had_served = self.frontend.has_successor();
             self.frontend.set_successor(None);
             self.queue.send(EngineMessage::SuccessorChanged { accepts_requests: false });
@@ -150,17 +157,20 @@
         let peer = self.peers.add(sender);
         self.peers.send_open_requests(peer);
         self.queue.send(EngineMessage::PeerProcessJoined { peer, role });
-        self.update_descriptor_shares();
         peer
     }
 
-    fn remove_peer(&self, peer: PeerProcessId) {
-        self.peers.remove(peer);
-        self.update_descriptor_shares();
-    }
-
-    fn update_descriptor_shares(&self) {
-        self.budgets.set_processes(1 + self.peers.count());
+    /// Reports to the successor which descriptors this process and its predecessors reserve, now and whenever that
+    /// changes. Never returns.
+    async fn report_reservation(&self, successor: &FrameSender) {
+        let mut reported = None;
+        loop {
+            let reservation = self.budgets.reservation();
+            if reported.replace(reservation) != Some(reservation) {
+                successor.send(HandoverFrame::DescriptorsReserved(reservation), None);
+            }
+            self.budgets.changed().await;
+        }
     }
 
     /// Handles frames from another process until it exits or the link ends.
@@ -175,7 +185,7 @@
             (HandoverFrame::Serving, _) => self.handle_successor_serving(peer),
             (HandoverFrame::IdleConnection { eviction_class, answered }, Some(socket)) => {
                 if let Some(stream) = adopt_socket(socket) {
-                    spawn_local(Rc::clone(&self.frontend).adopt(stream, eviction_class, answered));
+                    Rc::clone(&self.frontend).adopt(stream, eviction_class, answered);
                 }
             }
             (HandoverFrame::LearnedState { learned, worker_names }, _) => {
@@ -198,6 +208,9 @@
                 self.peers.broadcast(Some(peer), &frame);
                 self.queue.send(EngineMessage::SentByOtherProcess { worker_name, class, work_s });
             }
+            (HandoverFrame::DescriptorsReserved(reservation), _) => {
+                self.budgets.predecessor_reported(reservation);
+            }
             // `Listener` is consumed by `receive_listener`. `FrameReceiver` never returns the others without a socket.
             (
                 HandoverFrame::Listener
@@ -217,6 +230,10 @@
         }
         self.lifecycle.notify(LifecycleEvent::SuccessorServing);
         self.frontend.set_successor(successor);
+        self.budgets.set_successor(match can_migrate {
+            true => SuccessorState::Serving,
+            false => SuccessorState::ServingOtherBuild,
+        });
         self.queue.send(EngineMessage::SuccessorChanged { accepts_requests: can_migrate });
     }
 
@@ -229,7 +246,7 @@
         let time_left = request.time_left;
         let answer = self.queue.take_over(request);
         let request = PendingRequest { read_ahead, keep_alive, answer, time_left };
-        spawn_local(Rc::clone(&self.frontend).adopt_with_request(stream, request));
+        Rc::clone(&self.frontend).adopt_with_request(stream, request);
     }
 }
 
--- a/src/server/lifecycle/handover_frames/frame.rs
+++ b/src/server/lifecycle/handover_frames/frame.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::scheduling::{LearnedState, WorkerId};
+use crate::server::descriptor_budget::DescriptorReservation;
 use crate::server::frontend::connection_eviction::EvictionClass;
 use crate::server::messages::{MigratedRequest, WorkerCallback};
 
@@ -13,10 +14,11 @@
 /// | --- | --- |
 /// | 2 | the first with stable frames |
 /// | 3 | same encoding; no callback about an ended attempt of a migrated request can follow |
+/// | 4 | `DescriptorsReserved`; a client connection takes its descriptor along |
 ///
 /// Builds with different versions exchange only stable frames, which suffice for an upgrade: the predecessor then closes
 /// its idle connections instead of handing them over, and finishes its own requests.
-pub(super) const FRAME_FORMAT_VERSION: u8 = 3;
+pub(super) const FRAME_FORMAT_VERSION: u8 = 4;
 /// Number of stable frames, the first variants of [`HandoverFrame`]. All builds encode them identically.
 pub(super) const STABLE_FRAME_COUNT: u8 = 5;
 
@@ -71,6 +73,8 @@
         /// Estimated work of the attempt, in seconds.
         work_s: f64,
     },
+    /// Sent by the predecessor: the descriptors that it and the processes before it reserve.
+    DescriptorsReserved(DescriptorReservation),
 }
 
 impl HandoverFrame {
@@ -85,7 +89,8 @@
             HandoverFrame::IdleConnection { .. }
             | HandoverFrame::LearnedState { .. }
             | HandoverFrame::Request { .. }
-            | HandoverFrame::AttemptSent { .. } => false,
+            | HandoverFrame::AttemptSent { .. }
+            | HandoverFrame::DescriptorsReserved(_) => false,
         }
     }
 
@@ -100,7 +105,8 @@
             | HandoverFrame::RequestClosed(_)
             | HandoverFrame::Callback { .. }
             | HandoverFrame::LearnedState { .. }
-            | HandoverFrame::AttemptSent { .. } => false,
+            | HandoverFrame::AttemptSent { .. }
+            | HandoverFrame::DescriptorsReserved(_) => false,
         }
     }
 }
--- a/src/server/lifecycle/peer_processes.rs
+++ b/src/server/lifecycle/peer_processes.rs
@@ -54,11 +54,6 @@
         self.peers.borrow().iter().find(|peer| peer.id == id).map(|peer| peer.sender.clone())
     }
 
-    /// Number of links.
-    pub fn count(&self) -> usize {
-        self.peers.borrow().len()
-    }
-
     /// Whether no link has frames waiting to be written.
     pub fn is_flushed(&self) -> bool {
         self.peers.borrow().iter().all(|peer| peer.sender.is_flushed())
--- a/tests/server/handover.rs
+++ b/tests/server/handover.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use crate::scenario::{run_scenario, DEFAULT};
+use crate::scenario::{run_scenario, Environment, DEFAULT};
 
 /// The scheduler receives an endpoint list.
 const LIST_RECEIVED: &str = "
@@ -247,3 +247,35 @@
         p1 wait STATUS => +OK serving",
     );
 }
+
+/// Guards against a successor that accepts nothing until its predecessor exits: the requests that migrate to it used up
+/// its half of the descriptors. A third of the descriptors is in use for requests, which wait because the only worker
+/// drains.
+#[test]
+fn successor_accepts_connections_beside_the_requests_that_migrate_to_it() {
+    let mut scenario = String::from(
+        "d expect GET /v1/endpoints
+        d send 200 Transfer-Encoding: chunked
+        d send full m1:leaving
+        s wait pool_updates 1\n",
+    );
+    for n in 1..=10 {
+        scenario += &format!("c{n} send request r{n}\n");
+    }
+    scenario += "s wait transactions_taken 10
+        s2 send START
+        s expect log a successor takes over
+        d expect new GET /v1/endpoints
+        d send 200 Transfer-Encoding: chunked
+        d send full m1:leaving
+        p2 wait STATUS => +OK serving
+        o1 wait STATUS => -ERR replaced
+        p3 wait METRICS => svc.active=10
+        c11 send GET /ready HTTP/1.1||
+        c11 expect HTTP/1.1 200
+        c12 send request r12
+        p4 wait METRICS => svc.active=11
+        o2 wait METRICS => svc.descriptors.frontend=0
+        p5 wait METRICS => svc.descriptors.frontend.limit=18";
+    run_scenario(&Environment { max_sockets: 30, initial_workers: "m1:leaving", ..DEFAULT }, &scenario);
+}
