Close idle worker connections in a process that an upgrade replaces

Cause: the old process kept its idle connections to workers for up to 30 s, 65 of the 76 that both processes may hold; attempts of the new one ended as no_descriptor.

The new case fails before the change: 10 s after the upgrade the old process still holds worker connections.

Change: once requests migrate, a process pools only what a cancellation may need; idle connections above a lowered limit are closed as well. The engine is told the state of the successor in place of a flag. Beside a build that takes no requests the pool is kept, as an existing test requires: those requests are dispatched here.

--- a/src/server/descriptor_budget.rs
+++ b/src/server/descriptor_budget.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    /// Whether more descriptors are in use than the limit allows, because it was lowered.
+    pub fn is_exceeded(&self) -> bool {
+        self.in_use.get() > self.limit()
+    }
+
     /// Returns the number of descriptors that the processes before this one do not hold. Unlike [`Self::limit`], it
     /// does not shrink while a successor serves.
     pub fn share(&self) -> usize {
--- a/src/server/descriptor_budget/tests.rs
+++ b/src/server/descriptor_budget/tests.rs
@@ -81,7 +81,11 @@
 #[test]
 fn half_is_left_to_a_successor_of_another_build() {
     let predecessor = budgets();
+    let mut held = acquire(&predecessor.workers(), WORKER_TOTAL);
     predecessor.set_successor(SuccessorState::ServingOtherBuild);
+    assert!(predecessor.workers().is_exceeded(), "idle connections above the limit have to be closed");
+    held.truncate(WORKER_TOTAL / 2);
+    assert!(!predecessor.workers().is_exceeded());
     assert_eq!(predecessor.frontend().limit(), FRONTEND_TOTAL / 2);
     assert_eq!(predecessor.workers().limit(), WORKER_TOTAL / 2);
 }
--- a/src/server/engine.rs
+++ b/src/server/engine.rs
@@ -204,7 +204,7 @@
             EngineMessage::ClientDisconnected(id) => self.client_disconnected(id),
             EngineMessage::CallbackReceived { callback, relay } => self.callback_received(callback, relay),
             EngineMessage::RequestMigrated { id, request, reply } => self.take_over(id, *request, reply),
-            EngineMessage::SuccessorChanged { accepts_requests } => self.successor_changed(accepts_requests),
+            EngineMessage::SuccessorChanged(successor) => self.successor_changed(successor),
             EngineMessage::PeerProcessJoined { peer, role } => self.peer_process_joined(peer, role),
             EngineMessage::LearnedState { learned, worker_names } => {
                 self.learned_state_received(*learned, &worker_names)
--- a/src/server/engine/endpoint_list.rs
+++ b/src/server/engine/endpoint_list.rs
@@ -84,6 +84,7 @@
     /// attempt.
     pub(super) fn clean_up_workers(&mut self) {
         for worker in self.workers.values() {
+            worker.apply_pool_policy();
             worker.close_idle_connections();
         }
         self.connector.recover_trusted_idle();
--- a/src/server/engine/migration.rs
+++ b/src/server/engine/migration.rs
@@ -24,11 +24,13 @@
 use super::timers::Timer;
 use super::Engine;
 use crate::scheduling::{Event, RequestId, RequestNeeds, WorkerId};
+use crate::server::descriptor_budget::SuccessorState;
 use crate::server::lifecycle::handover_frames::HandoverFrame;
 use crate::server::messages::{
     ClientRequest, FinalAnswer, MigratedAttempt, MigratedRequest, PeerProcessId, ProcessRole,
 };
 use crate::server::metrics::Gauge;
+use crate::server::workers::connector::PoolPolicy;
 use crate::server::workers::endpoint::WorkerEndpoint;
 
 /// Whether requests migrate from this process to a successor.
@@ -83,10 +85,21 @@
 }
 
 impl Engine {
-    /// Handles a change in whether a successor accepts requests.
-    pub(super) fn successor_changed(&mut self, accepts_requests: bool) {
-        self.migration.set_accepts_requests(accepts_requests);
+    /// Handles a change of the successor. Once requests migrate, this process pools no idle connections to workers,
+    /// because they count against the descriptors that the successor may use.
+    pub(super) fn successor_changed(&mut self, successor: SuccessorState) {
+        let pool_policy = match successor {
+            SuccessorState::Absent | SuccessorState::Starting | SuccessorState::ServingOtherBuild => {
+                PoolPolicy::KeepIdle
+            }
+            SuccessorState::Serving => PoolPolicy::ReserveOnly,
+        };
+        self.connector.set_pool_policy(pool_policy);
+        self.migration.set_accepts_requests(successor == SuccessorState::Serving);
         self.migrate_requests();
+        for worker in self.workers.values() {
+            worker.apply_pool_policy();
+        }
     }
 
     /// Migrates all requests whose client is waiting and whose attempts can migrate.
--- a/src/server/engine_queue.rs
+++ b/src/server/engine_queue.rs
@@ -13,6 +13,7 @@
 use crate::config::endpoint_list::EndpointListUpdate;
 use crate::scheduling::{LearnedState, RequestId, Settings, WorkerId};
 use crate::server::attempt_end::AttemptEnd;
+use crate::server::descriptor_budget::SuccessorState;
 use crate::server::load_report::RawLoadReport;
 use crate::server::messages::{
     CallbackRelay, ClientRequest, FinalAnswer, MigratedRequest, PeerProcessId, ProcessRole, WorkerCallback,
@@ -49,10 +50,7 @@
         reply: oneshot::Sender<FinalAnswer>,
     },
     /// The successor has started to serve, or has exited.
-    SuccessorChanged {
-        /// True if requests can migrate to the successor: it is serving and supports this build's frames.
-        accepts_requests: bool,
-    },
+    SuccessorChanged(SuccessorState),
     /// The link to another process of an upgrade is up.
     PeerProcessJoined {
         /// The process.
--- a/src/server/lifecycle/handover.rs
+++ b/src/server/lifecycle/handover.rs
@@ -144,7 +144,7 @@
             self.budgets.set_successor(SuccessorState::Absent);
             let had_served = self.frontend.has_successor();
             self.frontend.set_successor(None);
-            self.queue.send(EngineMessage::SuccessorChanged { accepts_requests: false });
+            self.queue.send(EngineMessage::SuccessorChanged(SuccessorState::Absent));
             self.lifecycle.notify(LifecycleEvent::SuccessorLost);
             tracing::warn!("the successor has exited");
             if had_served {
@@ -224,17 +224,18 @@
     /// Handles `Serving`: the successor now accepts connections, and this process hands its own connections over.
     fn handle_successor_serving(&self, peer: PeerProcessId) {
         let successor = self.peers.sender(peer);
-        let can_migrate = successor.as_ref().is_some_and(FrameSender::has_same_format);
-        if !can_migrate {
+        let has_same_format = successor.as_ref().is_some_and(FrameSender::has_same_format);
+        let state = match has_same_format {
+            true => SuccessorState::Serving,
+            false => SuccessorState::ServingOtherBuild,
+        };
+        if !has_same_format {
             tracing::info!("the successor is of another build: requests are finished here");
         }
         self.lifecycle.notify(LifecycleEvent::SuccessorServing);
         self.frontend.set_successor(successor);
-        self.budgets.set_successor(match can_migrate {
-            true => SuccessorState::Serving,
-            false => SuccessorState::ServingOtherBuild,
-        });
-        self.queue.send(EngineMessage::SuccessorChanged { accepts_requests: can_migrate });
+        self.budgets.set_successor(state);
+        self.queue.send(EngineMessage::SuccessorChanged(state));
     }
 
     /// Takes over a request of the predecessor. The request is queued for the engine before the next frame is read,
--- a/src/server/workers/connection_pool.rs
+++ b/src/server/workers/connection_pool.rs
@@ -49,6 +49,13 @@
         idle.push(connection);
     }
 
+    /// Closes the connections that have been idle longest until at most `count` are left.
+    pub(super) fn shrink_to(&self, count: usize) {
+        let mut idle = self.idle.borrow_mut();
+        let surplus = idle.len().saturating_sub(count);
+        idle.drain(..surplus);
+    }
+
     /// Closes all idle connections.
     pub(super) fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/src/server/workers/connector.rs
+++ b/src/server/workers/connector.rs
@@ -58,6 +58,16 @@
     }
 }
 
+/// Which connections to a worker stay open while no attempt uses them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PoolPolicy {
+    /// Idle connections are pooled for further requests.
+    #[default]
+    KeepIdle,
+    /// Only connections that a cancellation of an accepted request may need are kept.
+    ReserveOnly,
+}
+
 /// Opens connections to workers.
 pub struct WorkerConnector {
     /// Descriptor budget for connections to workers.
@@ -68,6 +78,7 @@
     /// Idle time up to which a pooled connection is used for requests. Adaptive, because workers and middleboxes may
     /// close idle connections earlier than configured and without notice.
     trusted_idle: Cell<Duration>,
+    pool_policy: Cell<PoolPolicy>,
     counters: Rc<Counters>,
 }
 
@@ -85,6 +96,7 @@
             connect_timeout: Cell::default(),
             max_idle: Cell::default(),
             trusted_idle: Cell::new(Duration::MAX),
+            pool_policy: Cell::default(),
             counters,
         };
         connector.configure(connect_timeout_s, connection_idle_timeout_s);
@@ -105,6 +117,20 @@
         self.connect_timeout.get()
     }
 
+    /// Sets which idle connections stay open. Each worker applies it to its pool when that changes, or on
+    /// [`WorkerEndpoint::apply_pool_policy`](super::endpoint::WorkerEndpoint::apply_pool_policy).
+    pub fn set_pool_policy(&self, policy: PoolPolicy) {
+        self.pool_policy.set(policy);
+    }
+
+    /// Which idle connections stay open now. No surplus is kept above a descriptor limit that has been lowered.
+    pub(super) fn pool_policy(&self) -> PoolPolicy {
+        if self.budget.is_exceeded() {
+            return PoolPolicy::ReserveOnly;
+        }
+        self.pool_policy.get()
+    }
+
     /// Lets the trusted idle time recover after stale connections have shortened it. Called once a second.
     pub fn recover_trusted_idle(&self) {
         let trusted_idle = self.trusted_idle.get().min(self.max_idle.get());
--- a/src/server/workers/endpoint.rs
+++ b/src/server/workers/endpoint.rs
@@ -11,7 +11,7 @@
 
 use crate::server::workers::connection::WorkerConnection;
 use crate::server::workers::connection_pool::ConnectionPool;
-use crate::server::workers::connector::{ConnectError, WorkerConnector};
+use crate::server::workers::connector::{ConnectError, PoolPolicy, WorkerConnector};
 
 /// Maximum number of connections per worker kept in reserve for cancellations.
 const MAX_RESERVE_CONNECTIONS: usize = 4;
@@ -118,6 +118,20 @@
     /// Returns a connection to the pool. Its last response must have been read completely.
     pub fn return_to_pool(&self, connection: WorkerConnection) {
         self.pool.add(connection, self.address());
+        self.apply_pool_policy();
+    }
+
+    /// Closes the pooled connections that the connector's [`PoolPolicy`] does not keep.
+    pub fn apply_pool_policy(&self) {
+        match self.connector.pool_policy() {
+            PoolPolicy::KeepIdle => {}
+            PoolPolicy::ReserveOnly => self.pool.shrink_to(self.wanted_reserve()),
+        }
+    }
+
+    /// Number of pooled connections kept in reserve for cancellations of accepted requests.
+    fn wanted_reserve(&self) -> usize {
+        self.accepted_requests.get().min(MAX_RESERVE_CONNECTIONS)
     }
 
     /// Returns whether a connection that broke before a response was stale, that is, reused from the pool. If so,
@@ -145,8 +159,7 @@
     /// [`MAX_RESERVE_CONNECTIONS`].
     fn fill_reserve(this: &Rc<Self>) {
         let available = this.pool.len() + this.reserve_connecting.get();
-        let wanted = this.accepted_requests.get().min(MAX_RESERVE_CONNECTIONS);
-        for _ in available..wanted {
+        for _ in available..this.wanted_reserve() {
             this.reserve_connecting.set(this.reserve_connecting.get() + 1);
             tokio::task::spawn_local(Self::open_reserve_connection(Rc::clone(this)));
         }
@@ -168,5 +181,6 @@
 impl Drop for AcceptedRequestGuard {
     fn drop(&mut self) {
         self.0.accepted_requests.set(self.0.accepted_requests.get() - 1);
+        self.0.apply_pool_policy();
     }
 }
--- a/tests/server/handover.rs
+++ b/tests/server/handover.rs
@@ -123,6 +123,23 @@
     c4 send request r1
     m1 expect new r1"
 )]
+// Guards against a predecessor that keeps connections to workers which the successor may then not open.
+#[case::replaced_process_closes_its_idle_worker_connections(
+    "
+    c1 send request r1
+    m1 expect r1
+    m1 send 202
+    c2 send callback r1 m1 done
+    c1 expect drawn
+    c1 send request r2
+    m1 expect r2
+    m1 send 202",
+    "
+    p2 wait METRICS => svc.active=1
+    o2 wait METRICS => svc.descriptors.workers=0
+    c2 send callback r2 m1 done
+    c1 expect drawn"
+)]
 #[case::unused_connections_are_served_by_the_successor(
     "
     c1 send raw ",
