Test that a successor serves while its predecessor hangs

Cause: a hang of the old process between the listener and the successor's first word was a step of an upgrade that no test forced.

Change: a scenario that stops the predecessor with SIGSTOP, fills a third of the descriptors with requests at both processes, and continues it.

--- a/tests/server/handover.rs
+++ b/tests/server/handover.rs
@@ -296,3 +296,36 @@
         p5 wait METRICS => svc.descriptors.frontend.limit=18";
     run_scenario(&Environment { max_sockets: 30, initial_workers: "m1:leaving", ..DEFAULT }, &scenario);
 }
+
+/// The predecessor hangs before it learns that the successor serves. It keeps the descriptors that it holds and some
+/// headroom; the successor can use the others, and takes the requests over once the predecessor responds again.
+#[test]
+fn successor_uses_the_descriptors_that_a_hanging_predecessor_does_not_hold() {
+    let mut scenario = String::from(
+        "d expect GET /v1/endpoints
+        d send 200 Transfer-Encoding: chunked
+        d send full m1:leaving
+        s wait pool_updates 1
+        c1 send request r1
+        c2 send request r2
+        c3 send request r3
+        s wait transactions_taken 3
+        s2 send START
+        s expect log a successor takes over
+        d expect new GET /v1/endpoints
+        s send STOP
+        d send 200 Transfer-Encoding: chunked
+        d send full m1:leaving
+        p2 wait STATUS => +OK serving\n",
+    );
+    for n in 4..=10 {
+        scenario += &format!("c{n} send request r{n}\n");
+    }
+    scenario += "p3 wait METRICS => svc.active=7
+        c11 send GET /ready HTTP/1.1||
+        c11 expect HTTP/1.1 200
+        s send CONT
+        p4 wait METRICS => svc.active=10
+        p5 wait METRICS => svc.descriptors.frontend.limit=18";
+    run_scenario(&Environment { max_sockets: 30, initial_workers: "m1:leaving", ..DEFAULT }, &scenario);
+}
