--- a/src/server/engine/endpoint_list.rs
+++ b/src/server/engine/endpoint_list.rs
@@ -37,6 +37,7 @@
         let mut entries = Vec::with_capacity(update.entries.len());
         for entry in update.entries {
             let id = self.worker_id(&entry.name);
+            self.log_unknown_names(&entry);
             entries.push(worker_info(&self.settings, id, &entry));
             self.update_worker(id, entry);
         }
@@ -44,6 +45,18 @@
         self.notify_dispatcher(Event::WorkersListed { complete_snapshot, from_cache, entries });
     }
 
+    /// Logs the names of a zone and a kind that are not in the settings.
+    fn log_unknown_names(&self, entry: &EndpointEntry) {
+        let names =
+            [("zone", &entry.zone, &self.settings.zones), ("kind", &entry.kind, &self.settings.worker_kinds)];
+        for (list, name, configured) in names {
+            let is_known = configured.is_empty() || configured.contains(name);
+            if !is_known && self.counters.pool_unknown_names.add().is_power_of_two() {
+                tracing::warn!(list, name, worker = %entry.name, "name in the endpoint list is not in the settings");
+            }
+        }
+    }
+
     fn remove_unlisted(&mut self, entries: &[EndpointEntry]) {
         self.workers.retain(|_, worker| {
             let listed = entries.iter().any(|entry| entry.name == worker.name);
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -37,6 +37,8 @@
             pub callbacks_ambiguous: Counter,
             /// Connections that waited for a descriptor, because none was free and no connection could be evicted.
             pub connections_delayed: Counter,
+            /// Zones and kinds of listed workers that are not in the settings, counted for each entry.
+            pub pool_unknown_names: Counter,
             /// Counters by class index, in the order of the settings.
             classes: RefCell<Vec<Rc<ClassCounters>>>,
             /// Metrics of the gateway to other sites.
@@ -160,7 +162,8 @@
         }
         // Last, because programs may rely on the order of the other lines.
         writeln!(f, "callbacks_ambiguous {}", self.callbacks_ambiguous.get())?;
-        writeln!(f, "connections_delayed {}", self.connections_delayed.get())
+        writeln!(f, "connections_delayed {}", self.connections_delayed.get())?;
+        writeln!(f, "pool_unknown_names {}", self.pool_unknown_names.get())
     }
 }
 
--- a/src/server/metrics/tests.rs
+++ b/src/server/metrics/tests.rs
@@ -58,6 +58,7 @@
 const ADDED_COUNTERS: &str = "\
 callbacks_ambiguous 0
 connections_delayed 0
+pool_unknown_names 0
 ";
 
 const OPERATOR_METRICS: &str = "\
