Take an ambiguous class name for the class that allows the fewest repetitions

Two classes whose names differ only in spaces, commas and "_" have one form in the settings.

Cause: the first class with a matching name won. The comparison stood three times: in the request parser, for requests of other sites (which knew one form only), and for load reports (likewise).

Change: src/config/names.rs compares all names with the settings. Of several classes with one form it takes the most restricted one.

Names of load reports and of requests from other sites are found in both forms; only the shared function is tested for that.

--- a/src/config.rs
+++ b/src/config.rs
@@ -8,12 +8,14 @@
 //! - [`settings`]: the deployment's settings as `path=value` lines. `flatten` converts the nested settings of the
 //!   platform file to this format.
 //! - [`endpoint_list`]: the list of workers in the format of discovery.
+//! - [`names`]: comparison of names from elsewhere with those in the settings.
 //!
 //! This module only parses: it opens no sockets and applies nothing. See `src/cli/serve.rs` for startup and
 //! `src/server/lifecycle/reload.rs` for reloads of a running process.
 
 pub mod endpoint_list;
 mod flatten;
+pub mod names;
 mod platform_file;
 pub mod settings;
 
--- a/src/config/flatten.rs
+++ b/src/config/flatten.rs
@@ -1,12 +1,13 @@
 //! Converts the nested settings of the platform file to the `path=value` lines that [`super::settings`] parses.
 //!
 //! The format is the one that the simulator sends. A list of scalars becomes one line with its items separated by
-//! commas. A list of objects has its length under `count` and its items under their indices. Spaces, commas and
-//! newlines within values become `_`.
+//! commas. A list of objects has its length under `count` and its items under their indices. Texts have the form of
+//! [`names::settings_form`].
 
 use simd_json::prelude::*;
 use simd_json::tape::Value;
 
+use super::names;
 use super::settings::SettingsError;
 use crate::scheduling::Settings;
 
@@ -60,7 +61,7 @@
 /// Text of a scalar value in a line. `None` for null, which is treated like a missing key.
 fn scalar_text(value: &Value) -> Option<String> {
     if let Some(text) = value.as_str() {
-        return Some(text.replace([' ', ',', '\n'], "_"));
+        return Some(names::settings_form(text).into_owned());
     }
     if let Some(flag) = value.as_bool() {
         return Some(flag.to_string());
--- a/src/scheduling/settings.rs
+++ b/src/scheduling/settings.rs
@@ -2,8 +2,8 @@
 //!
 //! Times are in seconds. `src/config/settings.rs` maps the keys of the platform's configuration to these fields.
 
-/// Whether requests of a class may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whether requests of a class may run more than once. Later variants allow less.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Idempotency {
     /// Requests may run any number of times.
     Idempotent,
@@ -13,8 +13,8 @@
     NonIdempotent,
 }
 
-/// Scope in which workers drop repeats of a request with an idempotency key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Scope in which workers drop repeats of a request with an idempotency key. Later variants allow less.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DeduplicationScope {
     /// All workers.
     All,
--- a/src/server/engine/attempts.rs
+++ b/src/server/engine/attempts.rs
@@ -13,6 +13,7 @@
 use super::late_callbacks::LateCallbacks;
 use super::request_table::{StartedAttempt, TrackedRequest};
 use super::Engine;
+use crate::config::names;
 use crate::scheduling::{AttemptEnded, Event, LoadReport, RequestId, WorkerId};
 use crate::server::attempt_end::AttemptEnd;
 use crate::server::engine_queue::EngineMessage;
@@ -162,7 +163,7 @@
     pub(super) fn resolve_load_report(&self, report: &RawLoadReport) -> LoadReport {
         let mut load = LoadReport::default();
         for (name, value) in report {
-            if let Some(index) = self.settings.load_report_names.iter().position(|known| known == name) {
+            if let Some(index) = names::position(&self.settings.load_report_names, name) {
                 load.set(self.settings.load_report_fields[index], *value);
             }
         }
--- a/src/server/engine/site_forwarding/inbound.rs
+++ b/src/server/engine/site_forwarding/inbound.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::SiteForwarding;
+use crate::config::names;
 use crate::scheduling::Settings;
 use crate::server::engine::Engine;
 use crate::server::engine_queue::EngineMessage;
@@ -61,11 +62,11 @@
 }
 
 fn local_indices(settings: &Settings, offered: &OfferedRequest) -> Option<LocalIndices> {
-    let class = settings.classes.iter().position(|class| class.name == offered.class)?;
+    let class = names::find_class(settings, &offered.class)?;
     if settings.tenants.is_empty() {
         return Some(LocalIndices { class, tenant: 0 });
     }
-    let tenant = settings.tenants.iter().position(|tenant| tenant.name == offered.tenant)?;
+    let tenant = names::find_tenant(settings, &offered.tenant)?;
     Some(LocalIndices { class, tenant })
 }
 
--- a/src/server/frontend/request_parser.rs
+++ b/src/server/frontend/request_parser.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::wire_names::{headers, paths, HeaderName};
+use crate::config::names;
 use crate::scheduling::{Idempotency, Settings};
 use crate::server::http::Head;
 use crate::server::messages::{affinity_key_of, ClientRequest, RequestPayload};
@@ -110,12 +111,7 @@
 /// Returns the index of the request class named by the first path segment.
 fn class_from_path(path: &str, settings: &Settings) -> Option<usize> {
     let name = path.strip_prefix('/')?.split('/').next().unwrap_or_default();
-    settings.classes.iter().position(|class| matches_configured_name(&class.name, name))
-}
-
-/// Names in the settings have `_` in place of spaces and commas. Headers and paths may use either form.
-fn matches_configured_name(configured: &str, name: &str) -> bool {
-    !configured.is_empty() && (configured == name || configured == name.replace([' ', ','], "_"))
+    names::find_class(settings, name)
 }
 
 /// Parses the headers of a request whose class is already known.
@@ -202,15 +198,11 @@
     /// The index of the tenant in the settings, or 0 if the deployment has no tenants.
     fn tenant(&self) -> Result<usize, RequestError> {
         let name = self.text(headers::TENANT)?;
-        let tenants = &self.settings.tenants;
-        if tenants.is_empty() {
+        if self.settings.tenants.is_empty() {
             return Ok(0);
         }
         let name = name.ok_or(headers::TENANT.missing())?;
-        tenants
-            .iter()
-            .position(|tenant| matches_configured_name(&tenant.name, name))
-            .ok_or(RequestError::UnknownTenant)
+        names::find_tenant(self.settings, name).ok_or(RequestError::UnknownTenant)
     }
 
     /// How long the client waits: the value of its deadline header, or else the deadline of the class.
