Treat unknown zones and cells as different when a keyed request is retried

Cause: the settings have "_" for spaces in names, the endpoint list does not. All zones were unknown, and two unknown zones counted as the same one. Cells that were missing or over 65535 likewise counted as cell 0.

Evidence: the line "name in the endpoint list is not in the settings" for both zones.

Change: unknown equals nothing; a zone that is not in the settings has a number of its own, and so has a second spelling of a zone. Zones and kinds are found in both forms.

--- a/src/config/endpoint_list.rs
+++ b/src/config/endpoint_list.rs
@@ -61,8 +61,8 @@
     pub zone: String,
     /// Name of the worker's kind.
     pub kind: String,
-    /// The worker's cell.
-    pub cell: u16,
+    /// The worker's cell; `None` if the entry has none, or no valid number.
+    pub cell: Option<u16>,
     /// Whether the worker accepts requests.
     pub state: EndpointState,
     /// Unix time of the worker's last start in seconds; 0 for a start long ago.
@@ -115,7 +115,7 @@
         address,
         zone: text(fields::ENTRY_ZONE),
         kind: text(fields::ENTRY_KIND),
-        cell: cell.unwrap_or_default(),
+        cell,
         state,
         started_at_s: number(fields::ENTRY_STARTED_AT_MS) / MILLISECONDS_PER_SECOND,
         weight: number(fields::ENTRY_WEIGHT),
--- a/src/scheduling/endpoint.rs
+++ b/src/scheduling/endpoint.rs
@@ -26,9 +26,10 @@
     pub stable_id: u64,
     /// Whether the worker accepts new requests.
     pub state: WorkerState,
-    /// Index of the worker's zone.
+    /// Number of the worker's zone: its index in the settings, any other number for a zone that is not there, or
+    /// [`Self::UNKNOWN_ZONE`].
     pub zone: u16,
-    /// Number of the worker's cell.
+    /// Number of the worker's cell, or [`Self::UNKNOWN_CELL`].
     pub cell: u16,
     /// Index of the worker's kind.
     pub kind: usize,
@@ -40,6 +41,23 @@
     pub weight: f64,
 }
 
+impl WorkerInfo {
+    /// The zone of a worker whose zone is not known. It may be any zone.
+    pub const UNKNOWN_ZONE: u16 = u16::MAX;
+    /// The cell of a worker whose cell is not known. It may be any cell.
+    pub const UNKNOWN_CELL: u16 = u16::MAX;
+
+    /// Whether both workers certainly are in the same zone.
+    pub(crate) fn shares_zone_with(&self, other: &WorkerInfo) -> bool {
+        self.id == other.id || self.zone == other.zone && self.zone != Self::UNKNOWN_ZONE
+    }
+
+    /// Whether both workers certainly are in the same cell.
+    pub(crate) fn shares_cell_with(&self, other: &WorkerInfo) -> bool {
+        self.id == other.id || self.cell == other.cell && self.cell != Self::UNKNOWN_CELL
+    }
+}
+
 /// A load report of a worker. Values that it does not contain are `None`.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
--- a/src/scheduling/worker.rs
+++ b/src/scheduling/worker.rs
@@ -160,12 +160,12 @@
 }
 
 impl DeduplicationScope {
-    /// Whether the two workers share a deduplication scope.
+    /// Whether the two workers certainly share a deduplication scope.
     pub(crate) fn includes(self, first: &Worker, second: &Worker) -> bool {
         match self {
             DeduplicationScope::All => true,
-            DeduplicationScope::Zone => first.info.zone == second.info.zone,
-            DeduplicationScope::Cell => first.info.cell == second.info.cell,
+            DeduplicationScope::Zone => first.info.shares_zone_with(&second.info),
+            DeduplicationScope::Cell => first.info.shares_cell_with(&second.info),
         }
     }
 }
--- a/src/server/engine.rs
+++ b/src/server/engine.rs
@@ -41,6 +41,7 @@
 mod requests;
 mod site_forwarding;
 mod timers;
+mod zones;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -56,6 +57,7 @@
 use request_table::RequestTable;
 use site_forwarding::SiteForwarding;
 use timers::{Timer, Timers};
+use zones::ZoneNumbers;
 
 use crate::config::endpoint_list::EndpointListUpdate;
 use crate::scheduling::{Action, Dispatcher, Event, RequestId, Settings, Timer as DispatcherTimer, WorkerId};
@@ -91,6 +93,7 @@
     /// Worker IDs by name. A name keeps its ID while the worker is listed or has an attempt.
     worker_ids: HashMap<String, WorkerId>,
     last_worker_id: u64,
+    zones: ZoneNumbers,
     recent_sends: RecentSends,
     /// The other processes of an upgrade.
     peers: PeerProcesses,
@@ -126,6 +129,7 @@
             workers: BTreeMap::new(),
             worker_ids: HashMap::new(),
             last_worker_id: 0,
+            zones: ZoneNumbers::default(),
             recent_sends: RecentSends::default(),
             peers,
             migration: MigrationState::default(),
@@ -230,6 +234,7 @@
     fn settings_changed(&mut self, settings: Settings) {
         self.dispatcher.configure(settings.clone());
         self.counters.configure(settings.classes.iter().map(|class| class.name.as_str()));
+        self.zones.settings_changed(&settings);
         self.settings = settings;
         // The new settings may have enabled gossip.
         self.notify_dispatcher(Event::TimerExpired(DispatcherTimer::Gossip.tag()));
--- a/src/server/engine/endpoint_list.rs
+++ b/src/server/engine/endpoint_list.rs
@@ -7,6 +7,7 @@
 
 use super::Engine;
 use crate::config::endpoint_list::{EndpointEntry, EndpointListUpdate, EndpointState};
+use crate::config::names::position;
 use crate::scheduling::{Event, LearnedState, Settings, WorkerId, WorkerInfo, WorkerState};
 use crate::server::messages::stable_hash;
 use crate::server::workers::endpoint::WorkerEndpoint;
@@ -38,7 +39,8 @@
         for entry in update.entries {
             let id = self.worker_id(&entry.name);
             self.log_unknown_names(&entry);
-            entries.push(worker_info(&self.settings, id, &entry));
+            let zone = self.zones.number(&self.settings, &entry.zone);
+            entries.push(worker_info(&self.settings, id, zone, &entry));
             self.update_worker(id, entry);
         }
         self.counters.pool_size.set(self.workers.len());
@@ -47,10 +49,10 @@
 
     /// Logs the names of a zone and a kind that are not in the settings.
     fn log_unknown_names(&self, entry: &EndpointEntry) {
-        let names =
+        let fields =
             [("zone", &entry.zone, &self.settings.zones), ("kind", &entry.kind, &self.settings.worker_kinds)];
-        for (list, name, configured) in names {
-            let is_known = configured.is_empty() || configured.contains(name);
+        for (list, name, configured) in fields {
+            let is_known = configured.is_empty() || position(configured, name).is_some();
             if !is_known && self.counters.pool_unknown_names.add().is_power_of_two() {
                 tracing::warn!(list, name, worker = %entry.name, "name in the endpoint list is not in the settings");
             }
@@ -110,10 +112,10 @@
     }
 }
 
-/// Converts an entry of the list for the dispatcher. A zone or kind that is not in the settings gets an index
-/// that matches none of the configured ones.
-fn worker_info(settings: &Settings, id: WorkerId, entry: &EndpointEntry) -> WorkerInfo {
-    let index = |names: &[String], name: &str| names.iter().position(|known| known == name);
+/// Converts an entry of the list for the dispatcher. A kind that is not in the settings gets an index that matches
+/// none of the configured ones.
+fn worker_info(settings: &Settings, id: WorkerId, zone: u16, entry: &EndpointEntry) -> WorkerInfo {
+    let kind = position(&settings.worker_kinds, &entry.kind);
     WorkerInfo {
         id,
         stable_id: stable_hash(entry.name.as_bytes()),
@@ -122,9 +124,9 @@
             EndpointState::Draining => WorkerState::Draining,
             EndpointState::Removed => WorkerState::Gone,
         },
-        zone: index(&settings.zones, &entry.zone).map_or(u16::MAX, |zone| zone as u16),
-        cell: entry.cell,
-        kind: index(&settings.worker_kinds, &entry.kind).unwrap_or(settings.worker_kinds.len()),
+        zone,
+        cell: entry.cell.unwrap_or(WorkerInfo::UNKNOWN_CELL),
+        kind: kind.unwrap_or(settings.worker_kinds.len()),
         started_at_s: entry.started_at_s,
         weight: entry.weight,
     }
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod callbacks;
 mod clients;
+mod deduplication;
 mod discovery;
 mod gateway;
 mod gossip;
