Find request classes whose names are percent-encoded in the path

Callers saw: 404 for a class whose name has a space or a letter outside ASCII, if they send it percent-encoded, as HTTP clients do.

Cause: the first segment of the path was compared as it came.

Change: a segment that names no class is decoded (crate percent-encoding) and looked up again. The target passes on to the worker unchanged.

Measured: the new unit test fails before the change with "unknown path", and passes; names that decode to no class or to no UTF-8 are still answered 404.

--- a/src/server/frontend/request_parser.rs
+++ b/src/server/frontend/request_parser.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use percent_encoding::percent_decode_str;
 use tokio::time::Instant;
 
 use super::wire_names::{headers, paths, HeaderName};
@@ -108,10 +109,13 @@
     Ok(())
 }
 
-/// Returns the index of the request class named by the first path segment.
+/// Returns the index of the request class named by the first path segment, which may be percent-encoded.
 fn class_from_path(path: &str, settings: &Settings) -> Option<usize> {
     let name = path.strip_prefix('/')?.split('/').next().unwrap_or_default();
-    names::find_class(settings, name)
+    names::find_class(settings, name).or_else(|| {
+        let decoded = percent_decode_str(name).decode_utf8().ok()?; // no class has a name that is not UTF-8
+        names::find_class(settings, &decoded)
+    })
 }
 
 /// Parses the headers of a request whose class is already known.
--- a/src/server/frontend/request_parser/tests.rs
+++ b/src/server/frontend/request_parser/tests.rs
@@ -7,8 +7,8 @@
 const HEADERS: &str = "X-Request-Id: r1\r\nX-Tenant: acme\r\n";
 
 fn settings() -> Settings {
-    "grades.count=2\ngrades.0.name=draw_map\ngrades.0.deadline_s=7.5\ngrades.1.name=publish\n\
-     grades.1.effect=by_key\nparties.count=2\nparties.0.name=other\nparties.1.name=acme"
+    "grades.count=3\ngrades.0.name=draw_map\ngrades.0.deadline_s=7.5\ngrades.1.name=publish\n\
+     grades.1.effect=by_key\ngrades.2.name=tegn_møbel\nparties.count=2\nparties.0.name=other\nparties.1.name=acme"
         .parse()
         .unwrap()
 }
@@ -70,6 +70,20 @@
     assert_eq!(full.payload.content_type.as_deref(), Some(&b"text/plain"[..]));
 }
 
+/// A path cannot contain a space, so clients percent-encode it. The target passes on as it came.
+#[tokio::test]
+async fn class_names_may_be_percent_encoded() {
+    for (class, index) in [("draw%20map", 0), ("draw%5Fmap", 0), ("tegn%20m%C3%B8bel", 2)] {
+        let (request, _) = parse_request(class, HEADERS).await;
+        assert_eq!(request.class, index, "{class}");
+        assert_eq!(request.payload.target.as_ref(), format!("/{class}/a").as_bytes());
+    }
+    for class in ["draw%2", "%FF", "draw%2Fmap"] {
+        let (request, _) = parsed(&format!("POST /{class}/a HTTP/1.1\r\n{HEADERS}\r\n")).await;
+        assert!(matches!(request, Err(RequestError::UnknownPath)), "{class}");
+    }
+}
+
 #[tokio::test]
 async fn errors_name_the_header() {
     assert_eq!(error("").await, RequestError::MissingHeader("X-Request-Id"));
