Let the middle process of overlapping upgrades exit after the first one

Cause: processes are linked in a chain. When the middle one exited, the first one took this for the loss of its successor and served again beside the third.

Evidence: the new scenario fails before the change: STATUS of the first process is +OK serving while the third one serves and no further upgrade has begun.

Change: a process with a predecessor and a successor exits after its predecessor. One that has no successor exits at once, as before, so that its predecessor can serve again.

If the middle process is killed, the fault remains (docs/known-limits.md).

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -363,8 +363,9 @@
     }
 }
 
-/// Waits until all requests are answered, including those that arrived while admission was ending, and until the
-/// clients have noticed that their connections are closed or [`CLOSE_TIMEOUT`] has passed.
+/// Waits until all requests are answered, including those that arrived while admission was ending, until a predecessor
+/// has exited if there is also a successor, and until the clients have noticed that their connections are closed or
+/// [`CLOSE_TIMEOUT`] has passed.
 async fn drain(frontend: &Frontend, shared: &SharedState) {
     let SharedState { counters, lifecycle, peers, .. } = shared;
     let mut drained_at = None;
@@ -372,7 +373,7 @@
         sleep(DRAIN_CHECK_INTERVAL).await;
         let admission_ended = !lifecycle.admission_is_open() && lifecycle.should_close_idle_connections();
         let drained = frontend.is_empty() && peers.is_flushed() && counters.gateway.is_idle();
-        if !admission_ended || !drained {
+        if !admission_ended || !drained || peers.is_between_processes() {
             drained_at = None;
             continue;
         }
--- a/src/server/lifecycle/handover.rs
+++ b/src/server/lifecycle/handover.rs
@@ -7,6 +7,9 @@
 //!    is [`super::Phase::Replaced`].
 //! 4. If the successor exits before the predecessor receives SIGTERM, the predecessor serves again.
 //!
+//! A process that has both a predecessor and a successor exits after its predecessor. Otherwise the predecessor would
+//! serve again beside the newest process.
+//!
 //! `Handover::receive` returns when the other process exits or the link breaks. Its caller then cleans up:
 //! [`Handover::run`] for a predecessor, `Handover::offer_listener` for a successor.
 //!
@@ -154,7 +157,7 @@
     }
 
     fn add_peer(&self, sender: FrameSender, role: ProcessRole) -> PeerProcessId {
-        let peer = self.peers.add(sender);
+        let peer = self.peers.add(sender, role);
         self.peers.send_open_requests(peer);
         self.queue.send(EngineMessage::PeerProcessJoined { peer, role });
         peer
--- a/src/server/lifecycle/peer_processes.rs
+++ b/src/server/lifecycle/peer_processes.rs
@@ -11,10 +11,11 @@
 use bytes::Bytes;
 
 use crate::server::lifecycle::handover_frames::{FrameSender, HandoverFrame};
-use crate::server::messages::PeerProcessId;
+use crate::server::messages::{PeerProcessId, ProcessRole};
 
 struct PeerProcess {
     id: PeerProcessId,
+    role: ProcessRole,
     sender: FrameSender,
     /// IDs of the requests that are open in this process.
     open_requests: HashSet<Bytes>,
@@ -30,10 +31,10 @@
 
 impl PeerProcesses {
     /// Adds a link.
-    pub fn add(&self, sender: FrameSender) -> PeerProcessId {
+    pub fn add(&self, sender: FrameSender, role: ProcessRole) -> PeerProcessId {
         let id = PeerProcessId(self.next_id.get());
         self.next_id.set(id.0 + 1);
-        self.peers.borrow_mut().push(PeerProcess { id, sender, open_requests: HashSet::new() });
+        self.peers.borrow_mut().push(PeerProcess { id, role, sender, open_requests: HashSet::new() });
         id
     }
 
@@ -54,6 +55,13 @@
         self.peers.borrow().iter().find(|peer| peer.id == id).map(|peer| peer.sender.clone())
     }
 
+    /// Whether this process links an older to a newer one, which know of each other only through it.
+    pub fn is_between_processes(&self) -> bool {
+        let peers = self.peers.borrow();
+        let has = |role| peers.iter().any(|peer| peer.role == role);
+        has(ProcessRole::Predecessor) && has(ProcessRole::Successor)
+    }
+
     /// Whether no link has frames waiting to be written.
     pub fn is_flushed(&self) -> bool {
         self.peers.borrow().iter().all(|peer| peer.sender.is_flushed())
--- a/tests/server/handover.rs
+++ b/tests/server/handover.rs
@@ -364,3 +364,31 @@
         p5 wait METRICS => svc.descriptors.frontend.limit=18";
     run_scenario(&Environment { max_sockets: 30, initial_workers: "m1:leaving", ..DEFAULT }, &scenario);
 }
+
+/// Guards against two processes that accept connections and count all descriptors each: the middle one of three is told
+/// to stop first, and the first one still has a request. If the middle one exited, the first would serve again beside the
+/// third. The request r2, which no worker answers in time, shows that the time for the exit has passed.
+#[test]
+fn middle_process_of_two_overlapping_upgrades_exits_after_the_first() {
+    run_scenario(
+        &DEFAULT,
+        &format!(
+            "{}
+            s2 send TERM
+            s2 expect log stopping
+            c3 send request r2 draw-map 2000
+            c3 expect HTTP/1.1 503
+            o2 send raw STATUS\\n
+            o2 expect -ERR replaced
+            m1 send 202
+            q2 wait METRICS => svc.active=1
+            s send TERM
+            s expect exit 0
+            s2 expect exit 0
+            c4 send callback r1 m1 done
+            c4 expect 200
+            c1 expect 200 & drawn",
+            two_overlapping_upgrades("once")
+        ),
+    );
+}
