Show the version of the endpoint list in use: svc.pool_version

Nothing told which of these is the case: the new process uses the list of its configuration; it uses a newer list and sends a retry of a migrated request there; or the old process sends.

The metric tells them apart.

The metric follows the others; operator_metrics_keep_their_names_and_order compares the whole text as before, with the added line at its end.

--- a/src/server/engine/endpoint_list.rs
+++ b/src/server/engine/endpoint_list.rs
@@ -44,6 +44,7 @@
             self.update_worker(id, entry);
         }
         self.counters.pool_size.set(self.workers.len());
+        self.counters.pool_version.set(usize::try_from(update.version).unwrap_or(usize::MAX));
         self.notify_dispatcher(Event::WorkersListed { complete_snapshot, from_cache, entries });
     }
 
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -51,6 +51,8 @@
             pub pool_ejected: Gauge,
             /// Metrics of the descriptor budgets.
             pub descriptors: DescriptorMetrics,
+            /// Version of the endpoint list in use.
+            pub pool_version: Gauge,
         }
 
         impl Counters {
@@ -186,6 +188,7 @@
             counters.gateway.write_lines(f)?;
         }
         // Last, because programs may rely on the order of the other lines.
-        counters.descriptors.write_lines(f)
+        counters.descriptors.write_lines(f)?;
+        writeln!(f, "svc.pool_version={}", counters.pool_version.get())
     }
 }
--- a/src/server/metrics/tests.rs
+++ b/src/server/metrics/tests.rs
@@ -96,6 +96,7 @@
 svc.descriptors.frontend.limit=0
 svc.descriptors.workers=0
 svc.descriptors.workers.limit=0
+svc.pool_version=0
 ";
 
 #[test]
