Tell all processes of an upgrade what discovery told one of them

Cause: the new process serves with the list of its configuration if discovery does not answer within 2 s. What the old process had learned of workers went along in an upgrade, their states did not (apply_worker keeps this process's own info, and nothing else carried the list).

Ruled out: a newer list that is disregarded, the old process as the sender, retries of migrated requests.

Change: a process sends its list, then each update, to the processes linked to it, in parts of at most 64 KiB; these relay it over the chain. ListTracker decides for lists of discovery and of other processes whether one replaces the list in use; versions that were given up (regressed, or another address) are older. The new process serves after it has taken in the old one's initial state, 2 s at most as before. Handover frames have version 5.

No test was weakened. The two tests of list_version are as before; pub fields of DiscoveryWatch::new changed, no test used them.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -9,6 +9,7 @@
 //!
 //! The components are in `src/server/`.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -18,6 +19,7 @@
 use chutesaddle::config::endpoint_list::EndpointListUpdate;
 use chutesaddle::config::{Config, ConfigError};
 use chutesaddle::server::descriptor_budget::DescriptorBudgets;
+use chutesaddle::server::discovery::list_tracker::ListTracker;
 use chutesaddle::server::discovery::watch::DiscoveryWatch;
 use chutesaddle::server::discovery::watch_supervisor::WatchSupervisor;
 use chutesaddle::server::engine::Engine;
@@ -228,7 +230,8 @@
     let (gossip_sender, gossip_queue) = gossip_transport::channel();
     let EngineWithQueue { engine, queue, connector } = build_engine(&config, gossip_sender, shared);
     let (engine, site_links) = add_gateway(engine, site_links, &queue, &shared.lifecycle);
-    let discovery_watch = build_discovery_watch(&config, &queue, shared);
+    let list_tracker = build_list_tracker(&config, &queue, shared);
+    let discovery_watch = build_discovery_watch(&config, &list_tracker, shared);
     let frontend = build_frontend(&config, &queue, shared);
     let (discovery, discovery_address) = watch::channel(config.discovery);
     let (gossip, gossip_addresses) = watch::channel(config.gossip);
@@ -239,7 +242,7 @@
         shared.lifecycle.watch(),
         gossip_addresses,
     );
-    let handover = build_handover(listener, &frontend, &queue, shared);
+    let handover = build_handover(listener, &frontend, list_tracker, &queue, shared);
     let reload = ConfigReloader {
         config_path,
         operator_path,
@@ -294,11 +297,15 @@
     EngineWithQueue { engine: engine.with_gossip(gossip), queue, connector }
 }
 
-fn build_discovery_watch(config: &Config, queue: &EngineQueue, shared: &SharedState) -> DiscoveryWatch {
+fn build_list_tracker(config: &Config, queue: &EngineQueue, shared: &SharedState) -> Rc<ListTracker> {
+    let version = config.known_endpoints.version;
+    let counters = Rc::clone(&shared.counters);
+    Rc::new(ListTracker::new(config.discovery, version, queue.clone(), counters))
+}
+
+fn build_discovery_watch(config: &Config, list: &Rc<ListTracker>, shared: &SharedState) -> DiscoveryWatch {
     DiscoveryWatch::new(
-        config.discovery,
-        config.known_endpoints.version,
-        queue.clone(),
+        Rc::clone(list),
         Rc::clone(&shared.counters),
         WatchSupervisor::new(&config.settings, config.seed, Duration::ZERO),
     )
@@ -332,6 +339,7 @@
 fn build_handover(
     listener: ClientListener,
     frontend: &Rc<Frontend>,
+    endpoint_list: Rc<ListTracker>,
     queue: &EngineQueue,
     shared: &SharedState,
 ) -> Rc<Handover> {
@@ -343,7 +351,9 @@
         queue: queue.clone(),
         peers: shared.peers.clone(),
         budgets: Rc::clone(&shared.budgets),
+        endpoint_list,
         counters: Rc::clone(&shared.counters),
+        has_initial_state: Cell::new(true),
     })
 }
 
--- a/src/config/endpoint_list.rs
+++ b/src/config/endpoint_list.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
 use simd_json::prelude::*;
 use simd_json::tape::Value;
 
@@ -27,8 +28,8 @@
 
 const MILLISECONDS_PER_SECOND: f64 = 1000.0;
 
-/// State of a worker according to discovery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// State of a worker according to discovery. Serialized in handover frames, so the order of the variants must not change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointState {
     /// Accepts requests.
     Active,
@@ -50,8 +51,8 @@
     }
 }
 
-/// A worker in the endpoint list.
-#[derive(Clone, Debug, PartialEq)]
+/// A worker in the endpoint list. Serialized in handover frames, so the order of the fields must not change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointEntry {
     /// Name of the worker: the same at every scheduler and across restarts.
     pub name: String,
--- a/src/server/discovery.rs
+++ b/src/server/discovery.rs
@@ -30,12 +30,14 @@
 //! | [`poll`] | a single poll on its own connection; poll errors |
 //! | [`watch_state`] | which streams are open and which of them is the watch |
 //! | [`watch_supervisor`], [`poll_backoff`], [`deadlines`] | when the next poll is due |
-//! | [`list_version`] | handling of lists older than the known version |
+//! | [`list_version`] | which of two lists is newer; handling of lists older than the known version |
+//! | [`list_tracker`] | the list in use: accepts newer ones from discovery and from other processes of an upgrade |
 //! | [`stream_reader`] | splits the stream into lists |
 //!
 //! The engine and the scheduling module decide how a list affects requests.
 
 pub mod deadlines;
+pub mod list_tracker;
 pub mod list_version;
 pub mod poll;
 pub mod poll_backoff;
--- a/src/server/discovery/watch.rs
+++ b/src/server/discovery/watch.rs
@@ -15,12 +15,12 @@
 use tokio::time::{sleep_until, Instant};
 
 use crate::config::endpoint_list::EndpointListUpdate;
-use crate::server::discovery::list_version::{ListVersion, VersionCheck};
+use crate::server::discovery::list_tracker::ListTracker;
+use crate::server::discovery::list_version::VersionCheck;
 use crate::server::discovery::poll::{Poll, PollError, PollEvent, PollRequest, MAX_LIST_BYTES};
 use crate::server::discovery::stream_reader::StreamItem;
 use crate::server::discovery::watch_state::PollId;
 use crate::server::discovery::watch_supervisor::WatchSupervisor;
-use crate::server::engine_queue::{EngineMessage, EngineQueue};
 use crate::server::metrics::Counters;
 
 /// Capacity of the queue of poll events. Polls wait while it is full.
@@ -28,9 +28,7 @@
 
 /// Follows the endpoint list on the watch, and on polls while there is no watch or it is suspected.
 pub struct DiscoveryWatch {
-    address: SocketAddr,
-    version: ListVersion,
-    queue: EngineQueue,
+    list: Rc<ListTracker>,
     counters: Rc<Counters>,
     supervisor: WatchSupervisor,
     /// All open streams: the watch and the polls.
@@ -42,19 +40,10 @@
 }
 
 impl DiscoveryWatch {
-    /// Creates a task that follows discovery at `address`, starting from the list version `version`. The supervisor's
-    /// times are relative to this call.
-    pub fn new(
-        address: SocketAddr,
-        version: u64,
-        queue: EngineQueue,
-        counters: Rc<Counters>,
-        supervisor: WatchSupervisor,
-    ) -> Self {
+    /// Creates a task that follows discovery from the list in use on. The supervisor's times are relative to this call.
+    pub fn new(list: Rc<ListTracker>, counters: Rc<Counters>, supervisor: WatchSupervisor) -> Self {
         DiscoveryWatch {
-            address,
-            version: ListVersion::new(version),
-            queue,
+            list,
             counters,
             supervisor,
             polls: HashMap::new(),
@@ -67,7 +56,8 @@
     /// endpoint list stays in use.
     pub async fn run(mut self, mut addresses: watch::Receiver<SocketAddr>) {
         let (events, mut event_receiver) = mpsc::channel::<PollEvent>(MAX_QUEUED_EVENTS);
-        self.address = *addresses.borrow_and_update();
+        let address = *addresses.borrow_and_update();
+        self.change_address(address);
         loop {
             let next_poll_at = self.origin + self.supervisor.next_poll_at();
             tokio::select! {
@@ -89,27 +79,27 @@
 
     /// Switches to a new address. The list from the old address stays in use until the new one sends a list.
     fn change_address(&mut self, address: SocketAddr) {
-        if address == self.address {
+        if address == self.list.followed() {
             return;
         }
         tracing::info!(%address, "following discovery at a new address");
-        self.address = address;
+        self.list.follow(address);
         self.loss_logged = false;
-        self.restart();
+        self.supervisor.reset(self.now());
     }
 
     /// Closes all streams and starts over. The next list is applied whatever its version.
     fn restart(&mut self) {
-        self.version.reset();
+        self.list.restart();
         self.supervisor.reset(self.now());
     }
 
     fn open_poll(&mut self, events: &mpsc::Sender<PollEvent>) {
-        if self.version.has_regressed(Instant::now()) {
-            self.version.reset();
+        if self.list.has_regressed(Instant::now()) {
+            self.list.restart();
         }
         let id = self.supervisor.poll_opened(self.now());
-        let since = self.version.known();
+        let since = self.list.known_version();
         tracing::debug!(poll = id, since, "polling discovery");
         if id > 1 {
             self.counters.pool_reconnects.add();
@@ -119,7 +109,7 @@
             tracing::debug!("discovery silent, polling beside the open streams");
             self.log_loss(&PollError::Silent);
         }
-        let request = PollRequest { id, address: self.address, since };
+        let request = PollRequest { id, address: self.list.followed(), since };
         self.polls.insert(id, Poll::open(request, events.clone()));
     }
 
@@ -154,7 +144,7 @@
                 StreamItem::MalformedLine => self.count_malformed("line"),
             }
         }
-        if self.version.has_regressed(Instant::now()) {
+        if self.list.has_regressed(Instant::now()) {
             self.restart();
         }
         if too_long {
@@ -173,12 +163,9 @@
         if update.unreadable_entries > 0 {
             self.count_malformed("entry");
         }
-        let (received_version, known_version) = (update.version, self.version.known());
-        match self.version.check(received_version, Instant::now()) {
-            VersionCheck::Current => {
-                self.counters.pool_updates.add();
-                self.queue.send(EngineMessage::EndpointListChanged(update));
-            }
+        let (received_version, known_version) = (update.version, self.list.known_version());
+        match self.list.received_from_discovery(update, Instant::now()) {
+            VersionCheck::Current => {}
             VersionCheck::FirstOutdated => {
                 tracing::warn!(
                     received_version,
--- a/src/server/engine.rs
+++ b/src/server/engine.rs
@@ -23,6 +23,7 @@
 //! | `late_callbacks` | tells which callbacks may still follow the end of an attempt |
 //! | `answers` | gives each request its final answer and removes finished requests |
 //! | `endpoint_list` | maintains the set of workers |
+//! | `known_list` | keeps the endpoint list in use, to send it to other processes |
 //! | `migration` | migrates requests between the processes of an upgrade |
 //! | `recent_sends` | remembers recently sent work for processes that join |
 //! | `site_forwarding` | forwards requests to other sites and runs theirs |
@@ -34,6 +35,7 @@
 mod callbacks;
 mod clock;
 mod endpoint_list;
+mod known_list;
 mod late_callbacks;
 mod migration;
 mod recent_sends;
@@ -52,6 +54,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use clock::Clock;
+use known_list::KnownList;
 use migration::MigrationState;
 use recent_sends::RecentSends;
 use request_table::RequestTable;
@@ -92,6 +95,8 @@
     workers: BTreeMap<WorkerId, Rc<WorkerEndpoint>>,
     /// Worker IDs by name. A name keeps its ID while the worker is listed or has an attempt.
     worker_ids: HashMap<String, WorkerId>,
+    /// The endpoint list in use, as it is sent to other processes.
+    known_list: KnownList,
     last_worker_id: u64,
     zones: ZoneNumbers,
     recent_sends: RecentSends,
@@ -128,6 +133,7 @@
             connector,
             workers: BTreeMap::new(),
             worker_ids: HashMap::new(),
+            known_list: KnownList::default(),
             last_worker_id: 0,
             zones: ZoneNumbers::default(),
             recent_sends: RecentSends::default(),
@@ -154,7 +160,7 @@
 
     /// Applies the endpoint list cached by an earlier run, then processes messages until the queue closes.
     pub async fn run(mut self, cached: EndpointListUpdate) {
-        self.endpoint_list_changed(cached, true);
+        self.apply_cached_list(cached);
         let mut next_clean_up = Instant::now() + CLEAN_UP_INTERVAL;
         loop {
             let wake_up = self.next_wake_up(next_clean_up);
@@ -171,6 +177,7 @@
             self.update_gateway_load(now);
             if now >= next_clean_up {
                 self.clean_up_workers();
+                self.resend_missed_lists();
                 next_clean_up = now + CLEAN_UP_INTERVAL;
             }
         }
@@ -226,7 +233,7 @@
                 self.notify_dispatcher(Event::GossipReceived { from, bytes });
             }
             EngineMessage::SiteLink(event) => self.site_link_event(*event),
-            EngineMessage::EndpointListChanged(update) => self.endpoint_list_changed(update, false),
+            EngineMessage::EndpointListChanged(news) => self.endpoint_list_changed(*news),
             EngineMessage::SettingsChanged(settings) => self.settings_changed(*settings),
         }
     }
--- a/src/server/engine/endpoint_list.rs
+++ b/src/server/engine/endpoint_list.rs
@@ -9,7 +9,10 @@
 use crate::config::endpoint_list::{EndpointEntry, EndpointListUpdate, EndpointState};
 use crate::config::names::position;
 use crate::scheduling::{Event, LearnedState, Settings, WorkerId, WorkerInfo, WorkerState};
-use crate::server::messages::stable_hash;
+use crate::server::discovery::list_tracker::{EndpointListNews, ListOrigin};
+use crate::server::discovery::list_version::ListPosition;
+use crate::server::lifecycle::handover_frames::EndpointListPart;
+use crate::server::messages::{stable_hash, PeerProcessId};
 use crate::server::workers::endpoint::WorkerEndpoint;
 
 impl Engine {
@@ -27,8 +30,41 @@
         found.map(|(name, _)| name.clone()).unwrap_or_default()
     }
 
-    /// Applies an endpoint list update. `from_cache` is true for a list stored by an earlier run.
-    pub(super) fn endpoint_list_changed(&mut self, update: EndpointListUpdate, from_cache: bool) {
+    /// Applies the endpoint list of the configuration, stored by an earlier run.
+    pub(super) fn apply_cached_list(&mut self, update: EndpointListUpdate) {
+        let position = ListPosition { version: update.version, superseded: 0 };
+        self.known_list.apply(&update, ListOrigin { position, discovery: None });
+        self.apply_list(update, true);
+    }
+
+    /// Applies an update of the endpoint list and relays it to the other processes of an upgrade.
+    pub(super) fn endpoint_list_changed(&mut self, news: EndpointListNews) {
+        let EndpointListNews { update, origin, received_from } = news;
+        self.known_list.apply(&update, origin);
+        if !self.peers.is_empty() {
+            let complete_snapshot = update.complete_snapshot && update.unreadable_entries == 0;
+            let parts = EndpointListPart::split(origin, complete_snapshot, update.entries.iter().cloned());
+            self.peers.broadcast_list_update(received_from, &parts);
+        }
+        // The loads in the whole list of another process may be old. Its learned state has the newer ones.
+        let loads_are_old = received_from.is_some() && update.complete_snapshot;
+        self.apply_list(update, loads_are_old);
+    }
+
+    /// Sends the whole endpoint list to a process.
+    pub(super) fn send_known_list(&self, peer: PeerProcessId) {
+        self.peers.send_whole_list(peer, &self.known_list.to_parts());
+    }
+
+    /// Sends the whole endpoint list to the processes that did not keep up with its updates.
+    pub(super) fn resend_missed_lists(&self) {
+        for peer in self.peers.missing_list_update() {
+            self.send_known_list(peer);
+        }
+    }
+
+    /// Applies an update of the endpoint list. `from_cache` is true if its loads may be old.
+    fn apply_list(&mut self, update: EndpointListUpdate, from_cache: bool) {
         // An unreadable entry may be that of a worker missing from `entries`, so unlisted workers
         // are then not removed.
         let complete_snapshot = update.complete_snapshot && update.unreadable_entries == 0;
--- a/src/server/engine/migration.rs
+++ b/src/server/engine/migration.rs
@@ -211,9 +211,10 @@
         self.spawn_attempt(id, attempt, task.run_accepted());
     }
 
-    /// Sends a process that has joined the names of the open requests and the recently sent work. A successor
-    /// also receives the learned state.
+    /// Sends a process that has joined the endpoint list, the names of the open requests and the recently sent work. A
+    /// successor also receives the learned state, which refers to the workers of the list, and the end of all this.
     pub(super) fn peer_process_joined(&mut self, peer: PeerProcessId, role: ProcessRole) {
+        self.send_known_list(peer);
         if role == ProcessRole::Successor {
             let learned = self.dispatcher.learned_state();
             let worker_names = learned.workers().map(|worker| (worker, self.worker_name(worker))).collect();
@@ -227,6 +228,9 @@
         for frame in self.recent_sends.frames() {
             self.peers.send(peer, frame);
         }
+        if role == ProcessRole::Successor {
+            self.peers.send(peer, HandoverFrame::InitialStateSent);
+        }
     }
 }
 
--- a/src/server/engine_queue.rs
+++ b/src/server/engine_queue.rs
@@ -10,10 +10,10 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use crate::config::endpoint_list::EndpointListUpdate;
 use crate::scheduling::{LearnedState, RequestId, Settings, WorkerId};
 use crate::server::attempt_end::AttemptEnd;
 use crate::server::descriptor_budget::SuccessorState;
+use crate::server::discovery::list_tracker::EndpointListNews;
 use crate::server::load_report::RawLoadReport;
 use crate::server::messages::{
     CallbackRelay, ClientRequest, FinalAnswer, MigratedRequest, PeerProcessId, ProcessRole, WorkerCallback,
@@ -101,8 +101,8 @@
         /// The message.
         bytes: Vec<u8>,
     },
-    /// Discovery has received an update of the endpoint list.
-    EndpointListChanged(EndpointListUpdate),
+    /// Discovery or another process of an upgrade has sent a newer endpoint list.
+    EndpointListChanged(Box<EndpointListNews>),
     /// An event from a site link, a request from another site or the operator's gateway settings.
     SiteLink(Box<SiteLinkEvent>),
     /// The settings have changed. The indices of classes, tenants, zones and worker kinds stay the same.
--- a/src/server/lifecycle/handover.rs
+++ b/src/server/lifecycle/handover.rs
@@ -2,7 +2,8 @@
 //!
 //! 1. The predecessor listens on a Unix socket in `$TMPDIR`. The successor connects to it ([`acquire_listener`]) and
 //!    receives the client listener. No connection in the accept queue is refused or reset.
-//! 2. The successor waits for the endpoint list, starts to serve and sends `Serving` ([`Handover::run`]).
+//! 2. The predecessor sends its initial state: the endpoint list, what it has learned, and which requests are open. The
+//!    successor waits for it and for discovery, starts to serve and sends `Serving` ([`Handover::run`]).
 //! 3. The predecessor stops accepting, hands over its idle connections, and migrates or finishes its requests. Its phase
 //!    is [`super::Phase::Replaced`].
 //! 4. If the successor exits before the predecessor receives SIGTERM, the predecessor serves again.
@@ -19,6 +20,7 @@
 
 mod listener;
 
+use std::cell::Cell;
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -30,11 +32,12 @@
 use tokio::time::{sleep, Instant};
 
 use crate::server::descriptor_budget::{DescriptorBudgets, SuccessorState};
+use crate::server::discovery::list_tracker::ListTracker;
 use crate::server::engine_queue::{EngineMessage, EngineQueue};
 use crate::server::frontend::connection_handoff::PendingRequest;
 use crate::server::frontend::Frontend;
 use crate::server::lifecycle::handover_frames::{
-    link, FrameReceiver, FrameSender, HandoverFrame, ReceivedFrame,
+    link, AssembledList, EndpointListAssembler, FrameReceiver, FrameSender, HandoverFrame, ReceivedFrame,
 };
 use crate::server::lifecycle::peer_processes::PeerProcesses;
 use crate::server::lifecycle::{Lifecycle, LifecycleEvent};
@@ -46,10 +49,10 @@
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-/// How long a successor waits for discovery before it serves with the configured endpoint list.
-const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(2);
-/// How often a successor checks whether discovery has delivered an endpoint list.
-const DISCOVERY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// How long a successor waits for its predecessor and for discovery before it serves with what it has.
+const INITIAL_STATE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often a successor checks whether both have sent what it waits for.
+const INITIAL_STATE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Runs this process's side of upgrades: first as the successor of an earlier process, later as the predecessor of a new
 /// one.
@@ -68,8 +71,12 @@
     pub peers: PeerProcesses,
     /// Descriptor budgets, shared by the linked processes.
     pub budgets: Rc<DescriptorBudgets>,
+    /// The endpoint list in use, which other processes may replace by a newer one.
+    pub endpoint_list: Rc<ListTracker>,
     /// Counters. They show whether discovery has delivered an endpoint list.
     pub counters: Rc<Counters>,
+    /// Whether the predecessor has sent its initial state, or none is expected.
+    pub has_initial_state: Cell<bool>,
 }
 
 impl Handover {
@@ -78,8 +85,9 @@
         let mut to_predecessor = None;
         if let Some(predecessor) = predecessor {
             to_predecessor = Some(predecessor.sender.clone());
+            self.has_initial_state.set(!predecessor.sender.has_same_format());
             self.follow_predecessor(predecessor);
-            self.wait_for_endpoint_list().await;
+            self.wait_for_initial_state().await;
         }
         spawn_local(Rc::clone(&self.frontend).run(Rc::clone(&self.listener)));
         self.lifecycle.notify(LifecycleEvent::Started);
@@ -97,16 +105,20 @@
         self.budgets.predecessor_joined();
         spawn_local(async move {
             handover.receive(peer, predecessor.receiver).await;
+            handover.has_initial_state.set(true);
             handover.peers.remove(peer);
             handover.budgets.predecessor_exited();
             tracing::info!("the predecessor has exited");
         });
     }
 
-    async fn wait_for_endpoint_list(&self) {
-        let give_up_at = Instant::now() + DISCOVERY_TIMEOUT;
-        while self.counters.pool_updates.get() == 0 && Instant::now() < give_up_at {
-            sleep(DISCOVERY_CHECK_INTERVAL).await;
+    /// Waits until the predecessor has sent its initial state and discovery has delivered an endpoint list, or until one
+    /// of them has not done so in time.
+    async fn wait_for_initial_state(&self) {
+        let give_up_at = Instant::now() + INITIAL_STATE_TIMEOUT;
+        let is_complete = || self.has_initial_state.get() && self.counters.pool_updates.get() > 0;
+        while !is_complete() && Instant::now() < give_up_at {
+            sleep(INITIAL_STATE_CHECK_INTERVAL).await;
         }
     }
 
@@ -178,12 +190,16 @@
 
     /// Handles frames from another process until it exits or the link ends.
     async fn receive(&self, peer: PeerProcessId, mut receiver: FrameReceiver) {
+        let mut list = EndpointListAssembler::default();
         while let Some(received) = receiver.next().await {
-            self.handle(peer, received);
+            self.handle(peer, received, &mut list);
+        }
+        if let Some(AssembledList { update, origin }) = list.into_incomplete() {
+            self.endpoint_list.received_incomplete_list(update, origin, peer);
         }
     }
 
-    fn handle(&self, peer: PeerProcessId, received: ReceivedFrame) {
+    fn handle(&self, peer: PeerProcessId, received: ReceivedFrame, list: &mut EndpointListAssembler) {
         match (received.frame, received.socket) {
             (HandoverFrame::Serving, _) => self.handle_successor_serving(peer),
             (HandoverFrame::IdleConnection { eviction_class, answered }, Some(socket)) => {
@@ -214,6 +230,12 @@
             (HandoverFrame::DescriptorsReserved(reservation), _) => {
                 self.budgets.predecessor_reported(reservation);
             }
+            (HandoverFrame::EndpointList(part), _) => {
+                if let Some(AssembledList { update, origin }) = list.add(part) {
+                    self.endpoint_list.received_from_process(update, origin, peer);
+                }
+            }
+            (HandoverFrame::InitialStateSent, _) => self.has_initial_state.set(true),
             // `Listener` is consumed by `receive_listener`. `FrameReceiver` never returns the others without a socket.
             (
                 HandoverFrame::Listener
--- a/src/server/lifecycle/handover_frames.rs
+++ b/src/server/lifecycle/handover_frames.rs
@@ -9,11 +9,13 @@
 //! postcard. Postcard identifies fields and variants by position: they may be renamed, but not reordered, added or removed
 //! (`tests/stored_data.rs`).
 
+mod endpoint_list_part;
 mod frame;
 mod link;
 
 #[cfg(test)]
 mod tests;
 
+pub use endpoint_list_part::{AssembledList, EndpointListAssembler, EndpointListPart};
 pub use frame::HandoverFrame;
 pub use link::{link, FrameReceiver, FrameSender, ReceivedFrame};
--- a/src/server/lifecycle/handover_frames/frame.rs
+++ b/src/server/lifecycle/handover_frames/frame.rs
@@ -6,6 +6,7 @@
 use crate::scheduling::{LearnedState, WorkerId};
 use crate::server::descriptor_budget::DescriptorReservation;
 use crate::server::frontend::connection_eviction::EvictionClass;
+use crate::server::lifecycle::handover_frames::EndpointListPart;
 use crate::server::messages::{MigratedRequest, WorkerCallback};
 
 /// Frame format version. Increment it with every change to a frame that is not stable, or to what it implies.
@@ -15,10 +16,11 @@
 /// | 2 | the first with stable frames |
 /// | 3 | same encoding; no callback about an ended attempt of a migrated request can follow |
 /// | 4 | `DescriptorsReserved`; a client connection takes its descriptor along |
+/// | 5 | `EndpointList` and `InitialStateSent` |
 ///
 /// Builds with different versions exchange only stable frames, which suffice for an upgrade: the predecessor then closes
 /// its idle connections instead of handing them over, and finishes its own requests.
-pub(super) const FRAME_FORMAT_VERSION: u8 = 4;
+pub(super) const FRAME_FORMAT_VERSION: u8 = 5;
 /// Number of stable frames, the first variants of [`HandoverFrame`]. All builds encode them identically.
 pub(super) const STABLE_FRAME_COUNT: u8 = 5;
 
@@ -75,6 +77,11 @@
     },
     /// Sent by the predecessor: the descriptors that it and the processes before it reserve.
     DescriptorsReserved(DescriptorReservation),
+    /// A part of an update of the endpoint list in use. A process sends the whole list to a process that joins, and each
+    /// update after that.
+    EndpointList(EndpointListPart),
+    /// Sent by the predecessor once it has sent its endpoint list, its learned state and the requests open in it.
+    InitialStateSent,
 }
 
 impl HandoverFrame {
@@ -90,7 +97,9 @@
             | HandoverFrame::LearnedState { .. }
             | HandoverFrame::Request { .. }
             | HandoverFrame::AttemptSent { .. }
-            | HandoverFrame::DescriptorsReserved(_) => false,
+            | HandoverFrame::DescriptorsReserved(_)
+            | HandoverFrame::EndpointList(_)
+            | HandoverFrame::InitialStateSent => false,
         }
     }
 
@@ -106,7 +115,9 @@
             | HandoverFrame::Callback { .. }
             | HandoverFrame::LearnedState { .. }
             | HandoverFrame::AttemptSent { .. }
-            | HandoverFrame::DescriptorsReserved(_) => false,
+            | HandoverFrame::DescriptorsReserved(_)
+            | HandoverFrame::EndpointList(_)
+            | HandoverFrame::InitialStateSent => false,
         }
     }
 }
--- a/src/server/lifecycle/handover_frames/link.rs
+++ b/src/server/lifecycle/handover_frames/link.rs
@@ -20,6 +20,8 @@
 
 /// Maximum length of a received frame. The largest frame sent is a callback with its result.
 const MAX_FRAME_BYTES: usize = 256 * 1024;
+/// Number of unwritten parts of endpoint lists from which the other process counts as not keeping up.
+const MAX_UNWRITTEN_LIST_PARTS: usize = 32;
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 16 * 1024;
 /// Size of the length prefix of each frame.
@@ -52,12 +54,39 @@
     pub socket: Option<OwnedFd>,
 }
 
+/// Frames that are queued and not fully written yet.
+#[derive(Default)]
+struct UnwrittenFrames {
+    all: Cell<usize>,
+    /// The parts of endpoint lists among them.
+    list_parts: Cell<usize>,
+}
+
+impl UnwrittenFrames {
+    fn queued(&self, frame: &HandoverFrame) {
+        self.all.set(self.all.get() + 1);
+        if is_list_part(frame) {
+            self.list_parts.set(self.list_parts.get() + 1);
+        }
+    }
+
+    fn written(&self, frame: &HandoverFrame) {
+        self.all.set(self.all.get() - 1);
+        if is_list_part(frame) {
+            self.list_parts.set(self.list_parts.get() - 1);
+        }
+    }
+}
+
+fn is_list_part(frame: &HandoverFrame) -> bool {
+    matches!(frame, HandoverFrame::EndpointList(_))
+}
+
 /// The sending side of a link. A separate task writes the frames in the order in which they were sent.
 #[derive(Clone)]
 pub struct FrameSender {
     queue: mpsc::UnboundedSender<OutgoingFrame>,
-    /// Number of frames that are not fully written yet.
-    unwritten: Rc<Cell<usize>>,
+    unwritten: Rc<UnwrittenFrames>,
     same_format: Rc<Cell<bool>>,
 }
 
@@ -68,11 +97,17 @@
         if !self.has_same_format() && !frame.is_stable() {
             return;
         }
-        if self.queue.send(OutgoingFrame { frame, socket }).is_ok() {
-            self.unwritten.set(self.unwritten.get() + 1);
+        self.unwritten.queued(&frame);
+        if let Err(unsent) = self.queue.send(OutgoingFrame { frame, socket }) {
+            self.unwritten.written(&unsent.0.frame);
         }
     }
 
+    /// Whether the other process reads endpoint lists too slowly for another update to be queued.
+    pub fn is_behind_with_lists(&self) -> bool {
+        self.unwritten.list_parts.get() >= MAX_UNWRITTEN_LIST_PARTS
+    }
+
     /// Whether the other process can read all frames. True until a frame with another format version is received.
     pub fn has_same_format(&self) -> bool {
         self.same_format.get()
@@ -80,7 +115,7 @@
 
     /// Whether no frame is waiting to be written. Also true once the link has ended.
     pub fn is_flushed(&self) -> bool {
-        self.unwritten.get() == 0 || self.queue.is_closed()
+        self.unwritten.all.get() == 0 || self.queue.is_closed()
     }
 }
 
@@ -97,7 +132,7 @@
 pub fn link(stream: UnixStream) -> (FrameSender, FrameReceiver) {
     let stream = Rc::new(stream);
     let (queue, frames) = mpsc::unbounded_channel();
-    let unwritten = Rc::new(Cell::new(0));
+    let unwritten = Rc::new(UnwrittenFrames::default());
     let same_format = Rc::new(Cell::new(true));
     tokio::task::spawn_local(write_frames(Rc::clone(&stream), frames, Rc::clone(&unwritten)));
     let sender = FrameSender { queue, unwritten, same_format: Rc::clone(&same_format) };
@@ -109,13 +144,13 @@
 async fn write_frames(
     stream: Rc<UnixStream>,
     mut frames: mpsc::UnboundedReceiver<OutgoingFrame>,
-    unwritten: Rc<Cell<usize>>,
+    unwritten: Rc<UnwrittenFrames>,
 ) {
     while let Some(OutgoingFrame { frame, socket }) = frames.recv().await {
         if write_frame(&stream, &frame, socket).await.is_err() {
             return;
         }
-        unwritten.set(unwritten.get() - 1);
+        unwritten.written(&frame);
     }
 }
 
--- a/src/server/lifecycle/peer_processes.rs
+++ b/src/server/lifecycle/peer_processes.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 
-use crate::server::lifecycle::handover_frames::{FrameSender, HandoverFrame};
+use crate::server::lifecycle::handover_frames::{EndpointListPart, FrameSender, HandoverFrame};
 use crate::server::messages::{PeerProcessId, ProcessRole};
 
 struct PeerProcess {
@@ -19,6 +19,16 @@
     sender: FrameSender,
     /// IDs of the requests that are open in this process.
     open_requests: HashSet<Bytes>,
+    /// Whether an update of the endpoint list was not sent, because the process did not keep up.
+    misses_list_update: bool,
+}
+
+impl PeerProcess {
+    fn send_list(&self, parts: &[EndpointListPart]) {
+        for part in parts {
+            self.sender.send(HandoverFrame::EndpointList(part.clone()), None);
+        }
+    }
 }
 
 /// The processes that this one has a link to. Linked processes form a chain from the oldest to the newest. If each process
@@ -34,7 +44,8 @@
     pub fn add(&self, sender: FrameSender, role: ProcessRole) -> PeerProcessId {
         let id = PeerProcessId(self.next_id.get());
         self.next_id.set(id.0 + 1);
-        self.peers.borrow_mut().push(PeerProcess { id, role, sender, open_requests: HashSet::new() });
+        let peer = PeerProcess { id, role, sender, open_requests: HashSet::new(), misses_list_update: false };
+        self.peers.borrow_mut().push(peer);
         id
     }
 
@@ -98,6 +109,39 @@
         sent
     }
 
+    /// Whether there is no link to another process.
+    pub fn is_empty(&self) -> bool {
+        self.peers.borrow().is_empty()
+    }
+
+    /// Sends an update of the endpoint list to all peers except its source. A peer that does not keep up is left out, and
+    /// gets the whole list later.
+    pub fn broadcast_list_update(&self, source: Option<PeerProcessId>, parts: &[EndpointListPart]) {
+        for peer in self.peers.borrow_mut().iter_mut().filter(|peer| Some(peer.id) != source) {
+            if peer.sender.is_behind_with_lists() {
+                peer.misses_list_update = true;
+            } else {
+                peer.send_list(parts);
+            }
+        }
+    }
+
+    /// Sends the whole endpoint list to one peer.
+    pub fn send_whole_list(&self, id: PeerProcessId, parts: &[EndpointListPart]) {
+        if let Some(peer) = self.peers.borrow_mut().iter_mut().find(|peer| peer.id == id) {
+            peer.misses_list_update = false;
+            peer.send_list(parts);
+        }
+    }
+
+    /// The peers that miss an update of the endpoint list and keep up again.
+    pub fn missing_list_update(&self) -> Vec<PeerProcessId> {
+        let peers = self.peers.borrow();
+        let behind =
+            peers.iter().filter(|peer| peer.misses_list_update && !peer.sender.is_behind_with_lists());
+        behind.map(|peer| peer.id).collect()
+    }
+
     /// Records that a request was opened in a peer process, and notifies the other peers.
     pub fn request_opened(&self, id: PeerProcessId, request: Bytes) {
         if let Some(peer) = self.peers.borrow_mut().iter_mut().find(|peer| peer.id == id) {
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -9,6 +9,7 @@
 mod gateway;
 mod gossip;
 mod handover;
+mod handover_endpoint_list;
 mod lifecycle;
 mod operator_interface;
 mod other_build;
