Do not send a request again whose ID comes again after it may have run

What callers saw: a non-idempotent request whose client left while it ran was sent again when its X-Request-Id came again; the same after any other end of it, and at the other process of an upgrade.

Cause: an ID was known while its request was open only. In upgrades further gaps: IDs that had migrated were free at the old process; what a middle process had taken over was closed for the newest; what a killed process had open was forgotten; the close was applied when its frame was read, but the request that had migrated only when the engine came to it.

Evidence: the second request has attempt 0 in the log, so it is no retry.

Handover frames have version 6.

--- a/src/server.rs
+++ b/src/server.rs
@@ -21,6 +21,7 @@
 pub mod attempt_end;
 pub mod descriptor_budget;
 pub mod engine_queue;
+pub mod executed_requests;
 pub mod http;
 pub mod load_report;
 pub mod messages;
--- a/src/server/engine.rs
+++ b/src/server/engine.rs
@@ -172,8 +172,10 @@
                 () = sleep_until(wake_up) => {}
             }
             let now = Instant::now();
-            self.expire_timers(now);
+            // First, so that a request which has just been admitted is dispatched by the successor. It alone then decides
+            // whether the ID of the request is in use.
             self.migrate_requests();
+            self.expire_timers(now);
             self.update_gateway_load(now);
             if now >= next_clean_up {
                 self.clean_up_workers();
@@ -214,7 +216,10 @@
             }
             EngineMessage::ClientDisconnected(id) => self.client_disconnected(id),
             EngineMessage::CallbackReceived { callback, relay } => self.callback_received(callback, relay),
-            EngineMessage::RequestMigrated { id, request, reply } => self.take_over(id, *request, reply),
+            EngineMessage::RequestMigrated { id, from, request, reply } => {
+                self.peers.request_taken_over(from, &request.payload.name);
+                self.take_over(id, *request, reply);
+            }
             EngineMessage::SuccessorChanged(successor) => self.successor_changed(successor),
             EngineMessage::PeerProcessJoined { peer, role } => self.peer_process_joined(peer, role),
             EngineMessage::LearnedState { learned, worker_names } => {
--- a/src/server/engine/answers.rs
+++ b/src/server/engine/answers.rs
@@ -5,6 +5,7 @@
 use super::request_table::WaitEnd;
 use super::Engine;
 use crate::scheduling::RequestId;
+use crate::server::executed_requests::ExecutedRequest;
 use crate::server::lifecycle::handover_frames::HandoverFrame;
 use crate::server::messages::FinalAnswer;
 use crate::server::metrics::Counters;
@@ -40,6 +41,14 @@
             return;
         }
         let Some(request) = self.requests.remove(id) else { return };
+        // First, so that the ID is known to the other processes at every moment.
+        if request.may_have_been_executed() {
+            let class = &self.settings.classes[request.class];
+            let name = &request.payload.name;
+            if let Some(executed) = ExecutedRequest::of_class(name, class, request.accepted_at) {
+                self.peers.record_executed(None, executed);
+            }
+        }
         self.peers.broadcast(None, &HandoverFrame::RequestClosed(request.payload.name.clone()));
     }
 }
@@ -51,9 +60,10 @@
         FinalAnswer::Rejected { .. } | FinalAnswer::RejectedUnstarted => {
             (&counters.answered_rejected, &class.shed)
         }
-        FinalAnswer::Failed | FinalAnswer::DuplicateId | FinalAnswer::Migrated(_) => {
-            (&counters.answered_failed, &class.errors)
-        }
+        FinalAnswer::Failed
+        | FinalAnswer::DuplicateId
+        | FinalAnswer::RepeatedId
+        | FinalAnswer::Migrated(_) => (&counters.answered_failed, &class.errors),
     };
     total.add();
     class_total.add();
--- a/src/server/engine/migration.rs
+++ b/src/server/engine/migration.rs
@@ -25,6 +25,7 @@
 use super::Engine;
 use crate::scheduling::{Event, RequestId, RequestNeeds, WorkerId};
 use crate::server::descriptor_budget::SuccessorState;
+use crate::server::executed_requests::ExecutedRequest;
 use crate::server::lifecycle::handover_frames::HandoverFrame;
 use crate::server::messages::{
     ClientRequest, FinalAnswer, MigratedAttempt, MigratedRequest, PeerProcessId, ProcessRole,
@@ -48,14 +49,22 @@
 
 impl MigrationState {
     /// Records whether a successor accepts requests. If it no longer does, the requests that migrated to it are
-    /// lost, and their names are forgotten.
-    fn set_accepts_requests(&mut self, accepts_requests: bool) {
+    /// lost, and their names are returned.
+    #[must_use]
+    fn set_accepts_requests(&mut self, accepts_requests: bool) -> HashSet<Bytes> {
         let before = std::mem::take(self);
-        *self = match (before, accepts_requests) {
-            (MigrationState::Off, true) => MigrationState::Migrating { migrated: HashSet::new() },
-            (MigrationState::Migrating { migrated }, true) => MigrationState::Migrating { migrated },
-            (MigrationState::Off | MigrationState::Migrating { .. }, false) => MigrationState::Off,
+        let (after, lost) = match (before, accepts_requests) {
+            (MigrationState::Off, true) => {
+                (MigrationState::Migrating { migrated: HashSet::new() }, HashSet::new())
+            }
+            (MigrationState::Migrating { migrated }, true) => {
+                (MigrationState::Migrating { migrated }, HashSet::new())
+            }
+            (MigrationState::Migrating { migrated }, false) => (MigrationState::Off, migrated),
+            (MigrationState::Off, false) => (MigrationState::Off, HashSet::new()),
         };
+        *self = after;
+        lost
     }
 
     /// Returns whether requests migrate.
@@ -95,7 +104,10 @@
             SuccessorState::Serving => PoolPolicy::ReserveOnly,
         };
         self.connector.set_pool_policy(pool_policy);
-        self.migration.set_accepts_requests(successor == SuccessorState::Serving);
+        let lost = self.migration.set_accepts_requests(successor == SuccessorState::Serving);
+        for name in lost {
+            self.peers.record_executed(None, ExecutedRequest::not_repeatable(&name));
+        }
         self.migrate_requests();
         for worker in self.workers.values() {
             worker.apply_pool_policy();
@@ -135,7 +147,8 @@
             record,
             payload: (*request.payload).clone(),
         };
-        self.migration.record_migrated(migrated.payload.name.clone());
+        // A copy: the name is a slice of the buffer in which the request arrived.
+        self.migration.record_migrated(Bytes::copy_from_slice(&migrated.payload.name));
         self.counters.transactions_moved.add();
         if let Some(reply) = request.end_wait(WaitEnd::Answered) {
             // If the client has just disconnected, the other process need not answer it either.
@@ -151,12 +164,17 @@
         reply: oneshot::Sender<FinalAnswer>,
     ) {
         let MigratedRequest { class, estimated_work_s, time_left, attempts, record, payload } = migrated;
+        let deadline = Instant::now() + time_left;
+        let was_sent = !attempts.is_empty();
         if class >= self.settings.classes.len() || self.requests.id_of(&payload.name).is_some() {
             // The send fails if the client has disconnected.
             let _ = reply.send(FinalAnswer::Failed);
             return;
         }
-        let deadline = Instant::now() + time_left;
+        if !was_sent && self.peers.executed().forbid(&payload.name, &self.settings.classes[class], deadline) {
+            self.reject_repeated_id(class, &payload.name, reply);
+            return;
+        }
         let workers: Vec<WorkerId> =
             attempts.iter().map(|attempt| self.worker_id(&attempt.worker_name)).collect();
         self.counters.transactions_adopted.add();
@@ -175,6 +193,7 @@
         let mut request = TrackedRequest::new(submitted, reply, Gauge::count(&self.counters.active));
         // Only the other process knows whether the request ran. Assume that it did, so that it is not forwarded.
         request.may_have_run = true;
+        request.accepted_at = None;
         for (attempt, &worker) in attempts.into_iter().zip(&workers) {
             self.resume_attempt(id, &mut request, worker, attempt);
         }
@@ -221,6 +240,7 @@
             let learned = Box::new(learned);
             self.peers.send(peer, HandoverFrame::LearnedState { learned, worker_names });
         }
+        self.peers.send_executed_requests(peer);
         for name in self.requests.names() {
             self.peers.send(peer, HandoverFrame::RequestOpened(name.clone()));
         }
--- a/src/server/engine/request_table.rs
+++ b/src/server/engine/request_table.rs
@@ -67,6 +67,8 @@
     pub(super) tenant: usize,
     /// When the client stops waiting.
     pub(super) deadline: Instant,
+    /// When this process accepted the request; `None` if it was taken over from another process.
+    pub(super) accepted_at: Option<Instant>,
     /// Number of slots that the request occupies on a worker.
     pub(super) slots: f64,
     /// Amount of memory that the request occupies on a worker.
@@ -101,6 +103,7 @@
             class: request.class,
             tenant: request.tenant,
             deadline: request.deadline,
+            accepted_at: Some(Instant::now()),
             slots: request.slots,
             memory: request.memory,
             estimated_work_s: request.estimated_work_s,
@@ -161,6 +164,12 @@
         self.attempts.iter().any(Attempt::is_open)
     }
 
+    /// Returns whether the request may have run, at this site or another. Without an attempt it has not run at this one.
+    pub(super) fn may_have_been_executed(&self) -> bool {
+        let may_have_run_here = self.may_have_run && !self.attempts.is_empty();
+        may_have_run_here || self.forwarding.is_outbound()
+    }
+
     /// Returns whether it is certain that the request has not run, and will not run, at this site.
     pub(super) fn never_ran(&self) -> bool {
         !self.may_have_run && !self.has_open_attempt()
--- a/src/server/engine/requests.rs
+++ b/src/server/engine/requests.rs
@@ -3,6 +3,7 @@
 //! The dispatcher decides whether a request is admitted and where it runs; this module notifies it of the
 //! events.
 
+use bytes::Bytes;
 use tokio::sync::oneshot;
 
 use super::attempt_state::AttemptTransition;
@@ -26,10 +27,15 @@
         reply: oneshot::Sender<FinalAnswer>,
     ) {
         let name = &submitted.payload.name;
-        if self.peers.has_open_request(name) || self.requests.is_in_use(name, id) {
+        if self.is_in_use(name, id) {
             self.reject_duplicate(&submitted, reply);
             return;
         }
+        let class = &self.settings.classes[submitted.class];
+        if self.peers.executed().forbid(name, class, submitted.deadline) {
+            self.reject_repeated_id(submitted.class, name, reply);
+            return;
+        }
         self.counters.transactions_taken.add();
         self.peers.broadcast(None, &HandoverFrame::RequestOpened(name.clone()));
         tracing::debug!(
@@ -61,6 +67,22 @@
         self.record_priority(id);
     }
 
+    /// Whether a request with this name is open in this process or another, or this ID is taken here.
+    fn is_in_use(&self, name: &Bytes, id: RequestId) -> bool {
+        let is_elsewhere = self.peers.has_open_request(name) || self.migration.has_migrated(name);
+        is_elsewhere || self.requests.is_in_use(name, id)
+    }
+
+    /// Fails a request whose `X-Request-Id` was used by one that may have run and must not run again.
+    pub(super) fn reject_repeated_id(&self, class: usize, name: &Bytes, reply: oneshot::Sender<FinalAnswer>) {
+        if self.counters.repeated_ids.add().is_power_of_two() {
+            tracing::warn!(request = %name.escape_ascii(), "request id is of a request that may have run");
+        }
+        self.counters.class(class).errors.add();
+        // The send fails if the client has disconnected.
+        let _ = reply.send(FinalAnswer::RepeatedId);
+    }
+
     /// Rejects a request whose `X-Request-Id` is in use. Callbacks identify a request by that ID alone, so two open
     /// requests cannot share it.
     fn reject_duplicate(&self, submitted: &ClientRequest, reply: oneshot::Sender<FinalAnswer>) {
--- a/src/server/engine/site_forwarding/links.rs
+++ b/src/server/engine/site_forwarding/links.rs
@@ -107,7 +107,8 @@
             // A request with a duplicate ID was not accepted, so it never ran.
             FinalAnswer::RejectedUnstarted | FinalAnswer::DuplicateId => Outcome::Unstarted,
             FinalAnswer::Rejected { .. } => Outcome::Rejected,
-            FinalAnswer::Failed | FinalAnswer::Migrated(_) => Outcome::Failed,
+            // Its own site must not run it: it may have run here.
+            FinalAnswer::Failed | FinalAnswer::RepeatedId | FinalAnswer::Migrated(_) => Outcome::Failed,
         };
         self.notify_gateway(GatewayEvent::InboundRequestEnded(origin, outcome));
     }
--- a/src/server/engine_queue.rs
+++ b/src/server/engine_queue.rs
@@ -44,6 +44,8 @@
     RequestMigrated {
         /// ID assigned to the request.
         id: RequestId,
+        /// The predecessor.
+        from: PeerProcessId,
         /// The request.
         request: Box<MigratedRequest>,
         /// Receives the final answer.
@@ -133,8 +135,8 @@
     }
 
     /// Submits a request that has migrated from another process.
-    pub fn take_over(&self, request: Box<MigratedRequest>) -> PendingAnswer {
-        self.send_request(|id, reply| EngineMessage::RequestMigrated { id, request, reply })
+    pub fn take_over(&self, from: PeerProcessId, request: Box<MigratedRequest>) -> PendingAnswer {
+        self.send_request(|id, reply| EngineMessage::RequestMigrated { id, from, request, reply })
     }
 
     fn send_request(
--- a/src/server/frontend/request_handling.rs
+++ b/src/server/frontend/request_handling.rs
@@ -137,7 +137,8 @@
                 | FinalAnswer::Rejected { .. }
                 | FinalAnswer::RejectedUnstarted
                 | FinalAnswer::Failed
-                | FinalAnswer::DuplicateId => RequestOutcome::Answered(answer.into()),
+                | FinalAnswer::DuplicateId
+                | FinalAnswer::RepeatedId => RequestOutcome::Answered(answer.into()),
             },
             () = sleep_until(give_up_at) => RequestOutcome::Answered(FinalAnswer::Failed.into()),
             // Dropping `pending` notifies the engine.
--- a/src/server/frontend/response.rs
+++ b/src/server/frontend/response.rs
@@ -81,6 +81,9 @@
                 Response::new("502 Bad Gateway", "failed, the job may have run\n")
             }
             FinalAnswer::DuplicateId => Response::new("409 Conflict", "this X-Request-Id is in use\n"),
+            FinalAnswer::RepeatedId => {
+                Response::new("409 Conflict", "the request with this X-Request-Id may have run\n")
+            }
         }
     }
 }
--- a/src/server/lifecycle/handover.rs
+++ b/src/server/lifecycle/handover.rs
@@ -236,6 +236,7 @@
                 }
             }
             (HandoverFrame::InitialStateSent, _) => self.has_initial_state.set(true),
+            (HandoverFrame::RequestsExecuted(requests), _) => self.peers.requests_executed(peer, requests),
             // `Listener` is consumed by `receive_listener`. `FrameReceiver` never returns the others without a socket.
             (
                 HandoverFrame::Listener
@@ -267,10 +268,11 @@
     /// because that frame may be a callback for it.
     fn receive_migrated_request(&self, peer: PeerProcessId, adopted: AdoptedRequest) {
         let AdoptedRequest { request, socket, read_ahead, keep_alive } = adopted;
-        self.peers.request_closed(peer, request.payload.name.clone());
-        let Some(stream) = adopt_socket(socket) else { return };
+        let stream = adopt_socket(socket);
         let time_left = request.time_left;
-        let answer = self.queue.take_over(request);
+        // Without a usable socket, the dropped answer counts as the disconnect of the client.
+        let answer = self.queue.take_over(peer, request);
+        let Some(stream) = stream else { return };
         let request = PendingRequest { read_ahead, keep_alive, answer, time_left };
         Rc::clone(&self.frontend).adopt_with_request(stream, request);
     }
--- a/src/server/lifecycle/handover_frames/frame.rs
+++ b/src/server/lifecycle/handover_frames/frame.rs
@@ -5,6 +5,7 @@
 
 use crate::scheduling::{LearnedState, WorkerId};
 use crate::server::descriptor_budget::DescriptorReservation;
+use crate::server::executed_requests::ExecutedRequest;
 use crate::server::frontend::connection_eviction::EvictionClass;
 use crate::server::lifecycle::handover_frames::EndpointListPart;
 use crate::server::messages::{MigratedRequest, WorkerCallback};
@@ -17,10 +18,11 @@
 /// | 3 | same encoding; no callback about an ended attempt of a migrated request can follow |
 /// | 4 | `DescriptorsReserved`; a client connection takes its descriptor along |
 /// | 5 | `EndpointList` and `InitialStateSent` |
+/// | 6 | `RequestsExecuted`; a request that was taken over stays open without a further frame |
 ///
 /// Builds with different versions exchange only stable frames, which suffice for an upgrade: the predecessor then closes
 /// its idle connections instead of handing them over, and finishes its own requests.
-pub(super) const FRAME_FORMAT_VERSION: u8 = 5;
+pub(super) const FRAME_FORMAT_VERSION: u8 = 6;
 /// Number of stable frames, the first variants of [`HandoverFrame`]. All builds encode them identically.
 pub(super) const STABLE_FRAME_COUNT: u8 = 5;
 
@@ -82,6 +84,8 @@
     EndpointList(EndpointListPart),
     /// Sent by the predecessor once it has sent its endpoint list, its learned state and the requests open in it.
     InitialStateSent,
+    /// These requests may have run and are no longer open.
+    RequestsExecuted(Vec<ExecutedRequest>),
 }
 
 impl HandoverFrame {
@@ -99,7 +103,8 @@
             | HandoverFrame::AttemptSent { .. }
             | HandoverFrame::DescriptorsReserved(_)
             | HandoverFrame::EndpointList(_)
-            | HandoverFrame::InitialStateSent => false,
+            | HandoverFrame::InitialStateSent
+            | HandoverFrame::RequestsExecuted(_) => false,
         }
     }
 
@@ -117,7 +122,8 @@
             | HandoverFrame::AttemptSent { .. }
             | HandoverFrame::DescriptorsReserved(_)
             | HandoverFrame::EndpointList(_)
-            | HandoverFrame::InitialStateSent => false,
+            | HandoverFrame::InitialStateSent
+            | HandoverFrame::RequestsExecuted(_) => false,
         }
     }
 }
--- a/src/server/lifecycle/peer_processes.rs
+++ b/src/server/lifecycle/peer_processes.rs
@@ -1,7 +1,7 @@
 //! The other processes of an upgrade.
 //!
-//! [`PeerProcesses`] owns the links and tracks the IDs of the requests open in each process. A request ID that is open in
-//! any of them is in use. Received frames are handled in [`super::handover`]. Outside of an upgrade there are no links, and
+//! [`PeerProcesses`] owns the links and tracks the IDs of the requests open in each process, and those that may have run. A
+//! request ID that is open in any of them is in use. Received frames are handled in [`super::handover`]. Outside of an upgrade there are no links, and
 //! all operations are no-ops.
 
 use std::cell::{Cell, RefCell};
@@ -10,9 +10,13 @@
 
 use bytes::Bytes;
 
+use crate::server::executed_requests::{ExecutedRequest, ExecutedRequests};
 use crate::server::lifecycle::handover_frames::{EndpointListPart, FrameSender, HandoverFrame};
 use crate::server::messages::{PeerProcessId, ProcessRole};
 
+/// Number of requests in one frame.
+const MAX_EXECUTED_PER_FRAME: usize = 1024;
+
 struct PeerProcess {
     id: PeerProcessId,
     role: ProcessRole,
@@ -36,6 +40,8 @@
 #[derive(Clone, Default)]
 pub struct PeerProcesses {
     peers: Rc<RefCell<Vec<PeerProcess>>>,
+    /// Requests that may have run, in this process or another.
+    executed: ExecutedRequests,
     next_id: Rc<Cell<u64>>,
 }
 
@@ -49,18 +55,45 @@
         id
     }
 
-    /// Removes a link that has ended, and notifies the other peers that the requests open there are closed.
+    /// Removes a link that has ended, and notifies the other peers that the requests open there are closed. The other
+    /// process ended without closing them, so they may have run.
     pub fn remove(&self, id: PeerProcessId) {
         let mut peers = self.peers.borrow_mut();
         let Some(index) = peers.iter().position(|peer| peer.id == id) else { return };
         let removed = peers.remove(index);
+        drop(peers);
         for request in removed.open_requests {
-            for peer in peers.iter() {
-                peer.sender.send(HandoverFrame::RequestClosed(request.clone()), None);
-            }
+            self.record_executed(None, ExecutedRequest::not_repeatable(&request));
+            self.broadcast(None, &HandoverFrame::RequestClosed(request));
+        }
+    }
+
+    /// Records a request that may have run, and notifies all peers except the source.
+    pub fn record_executed(&self, source: Option<PeerProcessId>, request: ExecutedRequest) {
+        self.executed.record(request);
+        self.broadcast(source, &HandoverFrame::RequestsExecuted(vec![request]));
+    }
+
+    /// Records requests that may have run, as another process reported them, and notifies the other peers.
+    pub fn requests_executed(&self, source: PeerProcessId, requests: Vec<ExecutedRequest>) {
+        for request in &requests {
+            self.executed.record(*request);
+        }
+        self.broadcast(Some(source), &HandoverFrame::RequestsExecuted(requests));
+    }
+
+    /// Sends a new peer the requests that may have run.
+    pub fn send_executed_requests(&self, id: PeerProcessId) {
+        for requests in self.executed.all().chunks(MAX_EXECUTED_PER_FRAME) {
+            self.send(id, HandoverFrame::RequestsExecuted(requests.to_vec()));
         }
     }
 
+    /// The requests that may have run.
+    pub fn executed(&self) -> &ExecutedRequests {
+        &self.executed
+    }
+
     /// The sending side of a link.
     pub fn sender(&self, id: PeerProcessId) -> Option<FrameSender> {
         self.peers.borrow().iter().find(|peer| peer.id == id).map(|peer| peer.sender.clone())
@@ -150,6 +183,14 @@
         self.broadcast(Some(id), &HandoverFrame::RequestOpened(request));
     }
 
+    /// Records that this process has taken over a request that was open in a peer process. For the other peers it stays
+    /// open beyond this one.
+    pub fn request_taken_over(&self, id: PeerProcessId, request: &Bytes) {
+        if let Some(peer) = self.peers.borrow_mut().iter_mut().find(|peer| peer.id == id) {
+            peer.open_requests.remove(request);
+        }
+    }
+
     /// Records that a request is no longer open in a peer process, and notifies the other peers.
     pub fn request_closed(&self, id: PeerProcessId, request: Bytes) {
         if let Some(peer) = self.peers.borrow_mut().iter_mut().find(|peer| peer.id == id) {
--- a/src/server/messages.rs
+++ b/src/server/messages.rs
@@ -90,6 +90,8 @@
     Failed,
     /// Not accepted, because an open request has the same ID.
     DuplicateId,
+    /// Not accepted, because a request with the same ID may have run and must not run again.
+    RepeatedId,
     /// Migrated to the successor process, which answers the client. The client is still waiting.
     Migrated(Box<MigratedRequest>),
 }
@@ -103,6 +105,7 @@
             FinalAnswer::RejectedUnstarted => "rejected_unstarted",
             FinalAnswer::Failed => "failed",
             FinalAnswer::DuplicateId => "duplicate_id",
+            FinalAnswer::RepeatedId => "repeated_id",
             FinalAnswer::Migrated(_) => "migrated",
         }
     }
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -39,6 +39,8 @@
             pub connections_delayed: Counter,
             /// Zones and kinds of listed workers that are not in the settings, counted for each entry.
             pub pool_unknown_names: Counter,
+            /// Requests whose id is that of a request that may have run and must not run again.
+            pub repeated_ids: Counter,
             /// Counters by class index, in the order of the settings.
             classes: RefCell<Vec<Rc<ClassCounters>>>,
             /// Metrics of the gateway to other sites.
@@ -165,7 +167,8 @@
         // Last, because programs may rely on the order of the other lines.
         writeln!(f, "callbacks_ambiguous {}", self.callbacks_ambiguous.get())?;
         writeln!(f, "connections_delayed {}", self.connections_delayed.get())?;
-        writeln!(f, "pool_unknown_names {}", self.pool_unknown_names.get())
+        writeln!(f, "pool_unknown_names {}", self.pool_unknown_names.get())?;
+        writeln!(f, "repeated_ids {}", self.repeated_ids.get())
     }
 }
 
--- a/src/server/metrics/tests.rs
+++ b/src/server/metrics/tests.rs
@@ -59,6 +59,7 @@
 callbacks_ambiguous 0
 connections_delayed 0
 pool_unknown_names 0
+repeated_ids 0
 ";
 
 const OPERATOR_METRICS: &str = "\
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -15,4 +15,5 @@
 mod other_build;
 mod races;
 mod reload;
+mod repeated_ids;
 mod scenario;
--- a/tests/server/scenario/connection.rs
+++ b/tests/server/scenario/connection.rs
@@ -73,7 +73,12 @@
     /// Reads available bytes into the buffer. Returns 0 at the end of the stream.
     pub(super) fn fill_buffer(&mut self) -> Result<usize, String> {
         let mut bytes = [0; 4096];
-        let read = self.stream.read(&mut bytes).map_err(error_text)?;
+        let read = loop {
+            match self.stream.read(&mut bytes) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {} // by the end of a process
+                read => break read.map_err(error_text)?,
+            }
+        };
         self.buffer.extend_from_slice(&bytes[..read]);
         Ok(read)
     }
