Bound the messages that wait for the engine

Cause: the engine's queue counted on one message a connection. A callback is answered once it is queued, and a request whose deadline is over before the engine comes to it.

Ruled out: active requests, buffers of three connections, tables.

Change: 256 places in the queue for messages that other programs can send at will, given in order; the connection is not read on meanwhile. The same for gossip, for site links a read at a time, and for callbacks relayed in an upgrade, which are also limited by what the other process has not read.

Changed tests: the link's tests unwrap the queued message; their checks are as they were.

--- a/src/server/discovery/list_tracker/tests.rs
+++ b/src/server/discovery/list_tracker/tests.rs
@@ -1,9 +1,8 @@
-use std::cell::Cell;
-
 use rstest::rstest;
 use tokio::sync::mpsc;
 
 use super::*;
+use crate::server::engine_queue::QueuedMessage;
 
 const FOLLOWED: &str = "127.0.0.1:8500";
 const OTHER: &str = "127.0.0.1:8501";
@@ -12,13 +11,12 @@
 /// A tracker that starts from a configured list of version 41, and the messages that it sends to the engine.
 struct Fixture {
     tracker: ListTracker,
-    messages: mpsc::UnboundedReceiver<EngineMessage>,
+    messages: mpsc::UnboundedReceiver<QueuedMessage>,
 }
 
 impl Fixture {
     fn new() -> Self {
-        let (sender, messages) = mpsc::unbounded_channel();
-        let queue = EngineQueue { sender, next_request_id: Rc::new(Cell::new(0)) };
+        let (queue, messages) = EngineQueue::channel();
         let tracker = ListTracker::new(FOLLOWED.parse().unwrap(), 41, queue, Rc::default());
         Fixture { tracker, messages }
     }
@@ -36,7 +34,7 @@
 
     /// The list passed to the engine since the last call.
     fn applied(&mut self) -> Option<ListOrigin> {
-        match self.messages.try_recv().ok()? {
+        match self.messages.try_recv().ok()?.message {
             EngineMessage::EndpointListChanged(news) => Some(news.origin),
             _ => panic!("unexpected message"),
         }
--- a/src/server/engine.rs
+++ b/src/server/engine.rs
@@ -64,7 +64,7 @@
 
 use crate::config::endpoint_list::EndpointListUpdate;
 use crate::scheduling::{Action, Dispatcher, Event, RequestId, Settings, Timer as DispatcherTimer, WorkerId};
-use crate::server::engine_queue::{EngineMessage, EngineQueue};
+use crate::server::engine_queue::{EngineMessage, EngineQueue, QueuedMessage};
 use crate::server::lifecycle::peer_processes::PeerProcesses;
 use crate::server::messages::FinalAnswer;
 use crate::server::metrics::Counters;
@@ -85,7 +85,7 @@
     settings: Settings,
     clock: Clock,
     timers: Timers,
-    receiver: mpsc::UnboundedReceiver<EngineMessage>,
+    receiver: mpsc::UnboundedReceiver<QueuedMessage>,
     /// Cloned into the tasks that report to this engine.
     queue: EngineQueue,
     counters: Rc<Counters>,
@@ -119,8 +119,7 @@
         peers: PeerProcesses,
     ) -> (Self, EngineQueue) {
         counters.configure(settings.classes.iter().map(|class| class.name.as_str()));
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let queue = EngineQueue { sender, next_request_id: Rc::default() };
+        let (queue, receiver) = EngineQueue::channel();
         let engine = Engine {
             dispatcher: Dispatcher::new(settings.clone(), seed),
             settings,
@@ -166,11 +165,12 @@
             let wake_up = self.next_wake_up(next_clean_up);
             tokio::select! {
                 message = self.receiver.recv() => match message {
-                    Some(message) => self.handle_message(message),
+                    Some(queued) => self.handle_message(queued.message),
                     None => return,
                 },
                 () = sleep_until(wake_up) => {}
             }
+            self.counters.engine_queue.set(self.receiver.len());
             let now = Instant::now();
             // First, so that a request which has just been admitted is dispatched by the successor. It alone then decides
             // whether the ID of the request is in use.
@@ -239,6 +239,8 @@
             }
             EngineMessage::SiteLink(event) => self.site_link_event(*event),
             EngineMessage::EndpointListChanged(news) => self.endpoint_list_changed(*news),
+            // The send fails if the sender no longer waits.
+            EngineMessage::Marker(taken) => drop(taken.send(())),
             EngineMessage::SettingsChanged(settings) => self.settings_changed(*settings),
         }
     }
--- a/src/server/engine/callbacks.rs
+++ b/src/server/engine/callbacks.rs
@@ -14,7 +14,6 @@
 use super::Engine;
 use crate::scheduling::{Event, LoadReport, RequestId, WorkerId};
 use crate::server::attempt_end::AttemptEnd;
-use crate::server::lifecycle::handover_frames::HandoverFrame;
 use crate::server::messages::{CallbackEvent, CallbackRelay, FinalAnswer, WorkerCallback};
 
 /// A callback that has been relayed this many times is not relayed again.
@@ -139,8 +138,7 @@
         }
         let migrated = self.migration.has_migrated(&callback.request_name);
         let excluded = relay.map(|relay| relay.from).filter(|_| !migrated);
-        let frame = HandoverFrame::Callback { callback: callback.clone(), relays: relays + 1 };
-        self.peers.broadcast(excluded, &frame)
+        self.peers.relay_callback(excluded, migrated, callback, relays + 1)
     }
 }
 
--- a/src/server/engine/site_forwarding/inbound.rs
+++ b/src/server/engine/site_forwarding/inbound.rs
@@ -51,7 +51,7 @@
         };
         forwarding.send(link, Frame::Accepted(origin.forwarded.0));
         let request = client_request(*offer.request, indices, origin, Instant::now() + time_left);
-        let mut pending = self.queue.submit(Box::new(request));
+        let mut pending = self.queue.submit_inbound(Box::new(request));
         let queue = self.queue.clone();
         let task = spawn_local(async move {
             let answer = pending.reply().await;
--- a/src/server/engine_queue.rs
+++ b/src/server/engine_queue.rs
@@ -7,8 +7,9 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 
 use crate::scheduling::{LearnedState, RequestId, Settings, WorkerId};
 use crate::server::attempt_end::AttemptEnd;
@@ -107,46 +108,108 @@
     EndpointListChanged(Box<EndpointListNews>),
     /// An event from a site link, a request from another site or the operator's gateway settings.
     SiteLink(Box<SiteLinkEvent>),
+    /// Tells the sender that the engine has taken all messages before this one.
+    Marker(oneshot::Sender<()>),
     /// The settings have changed. The indices of classes, tenants, zones and worker kinds stay the same.
     SettingsChanged(Box<Settings>),
 }
 
+/// Maximum number of messages from other programs that wait in the queue.
+const MAX_WAITING_MESSAGES: usize = 256;
+
+/// A place in the queue, free again once the engine has taken its message.
+pub struct QueueSlot {
+    _permit: OwnedSemaphorePermit,
+}
+
+/// A message in the queue.
+pub struct QueuedMessage {
+    /// The message.
+    pub(super) message: EngineMessage,
+    /// The place that it occupies; `None` for messages whose number other programs cannot increase.
+    _slot: Option<QueueSlot>,
+}
+
 /// The sending end of the engine's queue.
 ///
-/// The channel is unbounded, but its length is limited: each connection has at most one message queued at a time, and
-/// the number of connections is bounded.
+/// The channel is unbounded, but its length is limited: a message that another program can send at will needs a
+/// [`QueueSlot`]. A request needs one and is followed by at most one [`EngineMessage::ClientDisconnected`]; the other
+/// messages are bounded by the attempts, workers and processes that they are about.
 #[derive(Clone)]
 pub struct EngineQueue {
-    pub(super) sender: mpsc::UnboundedSender<EngineMessage>,
+    sender: mpsc::UnboundedSender<QueuedMessage>,
+    slots: Arc<Semaphore>,
     /// ID of the next request.
-    pub(super) next_request_id: Rc<Cell<u32>>,
+    next_request_id: Rc<Cell<u32>>,
 }
 
 impl EngineQueue {
-    /// Sends a message.
+    /// Creates a queue and its receiving end.
+    pub fn channel() -> (Self, mpsc::UnboundedReceiver<QueuedMessage>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let slots = Arc::new(Semaphore::new(MAX_WAITING_MESSAGES));
+        (EngineQueue { sender, slots, next_request_id: Rc::default() }, receiver)
+    }
+
+    /// Sends a message whose number other programs cannot increase.
     pub fn send(&self, message: EngineMessage) {
+        self.enqueue(message, None);
+    }
+
+    /// Waits for a place in the queue. Places are given in the order of the calls, so that no connection can keep the
+    /// others waiting for long.
+    pub async fn slot(&self) -> QueueSlot {
+        match Arc::clone(&self.slots).acquire_owned().await {
+            Ok(permit) => QueueSlot { _permit: permit },
+            // The semaphore is never closed.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    /// Sends a message that needs a place.
+    pub fn send_in(&self, slot: QueueSlot, message: EngineMessage) {
+        self.enqueue(message, Some(slot));
+    }
+
+    /// Waits until the engine has taken all messages that are in the queue now.
+    pub async fn wait_until_taken(&self) {
+        let (taken, wait) = oneshot::channel();
+        self.send(EngineMessage::Marker(taken));
+        // Fails only after the engine has stopped.
+        let _ = wait.await;
+    }
+
+    fn enqueue(&self, message: EngineMessage, slot: Option<QueueSlot>) {
         // The send fails only after the engine has stopped. The process is then exiting, and nothing waits for answers.
-        let _ = self.sender.send(message);
+        let _ = self.sender.send(QueuedMessage { message, _slot: slot });
+    }
+
+    /// Submits a request of a client.
+    pub async fn submit(&self, request: Box<ClientRequest>) -> PendingAnswer {
+        let slot = self.slot().await;
+        let message = |id, reply| EngineMessage::RequestSubmitted { id, request, reply };
+        self.send_request(Some(slot), message)
     }
 
-    /// Submits a request.
-    pub fn submit(&self, request: Box<ClientRequest>) -> PendingAnswer {
-        self.send_request(|id, reply| EngineMessage::RequestSubmitted { id, request, reply })
+    /// Submits a request of another site. The engine itself has admitted it, so it needs no place.
+    pub fn submit_inbound(&self, request: Box<ClientRequest>) -> PendingAnswer {
+        self.send_request(None, |id, reply| EngineMessage::RequestSubmitted { id, request, reply })
     }
 
     /// Submits a request that has migrated from another process.
     pub fn take_over(&self, from: PeerProcessId, request: Box<MigratedRequest>) -> PendingAnswer {
-        self.send_request(|id, reply| EngineMessage::RequestMigrated { id, from, request, reply })
+        self.send_request(None, |id, reply| EngineMessage::RequestMigrated { id, from, request, reply })
     }
 
     fn send_request(
         &self,
+        slot: Option<QueueSlot>,
         message: impl FnOnce(RequestId, oneshot::Sender<FinalAnswer>) -> EngineMessage,
     ) -> PendingAnswer {
         let id = RequestId(self.next_request_id.get());
         self.next_request_id.set(id.0.wrapping_add(1));
         let (sender, reply) = oneshot::channel();
-        self.send(message(id, sender));
+        self.enqueue(message(id, sender), slot);
         PendingAnswer { id, reply, queue: self.clone(), answered: false }
     }
 }
--- a/src/server/frontend/request_handling.rs
+++ b/src/server/frontend/request_handling.rs
@@ -56,7 +56,7 @@
             }
             Ok(ParsedMessage::Callback) => {
                 client.eviction_class = EvictionClass::IdleAfterCallback;
-                self.handle_callback(body)
+                self.handle_callback(body).await
             }
             Ok(ParsedMessage::Readiness) => self.readiness(),
             Ok(ParsedMessage::Counters) => Response::new("200 OK", self.counters.to_string()),
@@ -79,10 +79,11 @@
         Response::not_serving(self.lifecycle.phase().name())
     }
 
-    /// Passes a callback to the engine.
-    fn handle_callback(&self, body: Bytes) -> Response {
+    /// Passes a callback to the engine, once there is a place in its queue.
+    async fn handle_callback(&self, body: Bytes) -> Response {
         if let Some(callback) = callback_parser::parse(body) {
-            self.queue.send(EngineMessage::CallbackReceived { callback, relay: None });
+            let slot = self.queue.slot().await;
+            self.queue.send_in(slot, EngineMessage::CallbackReceived { callback, relay: None });
             return Response::new("200 OK", "");
         }
         // Logged for the first, second, fourth, eighth and so on, so that a faulty worker cannot flood the log.
@@ -116,7 +117,7 @@
         }
         // The engine answers before this. The timeout keeps an engine bug from blocking a client forever.
         let give_up_at = request.deadline + Duration::from_secs_f64(settings.answer_slack_s);
-        let pending = self.queue.submit(request);
+        let pending = self.queue.submit(request).await;
         self.await_answer(&mut client.http, keep_alive, pending, give_up_at).await
     }
 
--- a/src/server/lifecycle/handover.rs
+++ b/src/server/lifecycle/handover.rs
@@ -192,6 +192,13 @@
     async fn receive(&self, peer: PeerProcessId, mut receiver: FrameReceiver) {
         let mut list = EndpointListAssembler::default();
         while let Some(received) = receiver.next().await {
+            if let HandoverFrame::Callback { callback, relays } = received.frame {
+                // Anyone can send callbacks. Waiting here lets them wait in the other process.
+                let slot = self.queue.slot().await;
+                let relay = Some(CallbackRelay { from: peer, relays });
+                self.queue.send_in(slot, EngineMessage::CallbackReceived { callback, relay });
+                continue;
+            }
             self.handle(peer, received, &mut list);
         }
         if let Some(AssembledList { update, origin }) = list.into_incomplete() {
@@ -218,10 +225,6 @@
                     AdoptedRequest { request, socket, read_ahead, keep_alive },
                 );
             }
-            (HandoverFrame::Callback { callback, relays }, _) => {
-                let relay = CallbackRelay { from: peer, relays };
-                self.queue.send(EngineMessage::CallbackReceived { callback, relay: Some(relay) });
-            }
             (HandoverFrame::AttemptSent { worker_name, class, work_s }, _) => {
                 let frame = HandoverFrame::AttemptSent { worker_name: worker_name.clone(), class, work_s };
                 self.peers.broadcast(Some(peer), &frame);
@@ -237,9 +240,11 @@
             }
             (HandoverFrame::InitialStateSent, _) => self.has_initial_state.set(true),
             (HandoverFrame::RequestsExecuted(requests), _) => self.peers.requests_executed(peer, requests),
-            // `Listener` is consumed by `receive_listener`. `FrameReceiver` never returns the others without a socket.
+            // `Listener` is consumed by `receive_listener`, callbacks by `receive`. `FrameReceiver` never returns the others
+            // without a socket.
             (
                 HandoverFrame::Listener
+                | HandoverFrame::Callback { .. }
                 | HandoverFrame::IdleConnection { .. }
                 | HandoverFrame::Request { .. },
                 _,
--- a/src/server/lifecycle/handover_frames/link.rs
+++ b/src/server/lifecycle/handover_frames/link.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 
 use super::frame::{HandoverFrame, FRAME_FORMAT_VERSION, STABLE_FRAME_COUNT};
+use crate::server::messages::CallbackEvent;
 
 /// Maximum length of a received frame. The largest frame sent is a callback with its result.
 const MAX_FRAME_BYTES: usize = 256 * 1024;
@@ -60,6 +61,8 @@
     all: Cell<usize>,
     /// The parts of endpoint lists among them.
     list_parts: Cell<usize>,
+    /// Bytes of the callbacks among them.
+    callback_bytes: Cell<usize>,
 }
 
 impl UnwrittenFrames {
@@ -68,6 +71,7 @@
         if is_list_part(frame) {
             self.list_parts.set(self.list_parts.get() + 1);
         }
+        self.callback_bytes.set(self.callback_bytes.get() + callback_bytes(frame));
     }
 
     fn written(&self, frame: &HandoverFrame) {
@@ -75,6 +79,7 @@
         if is_list_part(frame) {
             self.list_parts.set(self.list_parts.get() - 1);
         }
+        self.callback_bytes.set(self.callback_bytes.get() - callback_bytes(frame));
     }
 }
 
@@ -82,6 +87,16 @@
     matches!(frame, HandoverFrame::EndpointList(_))
 }
 
+/// Size of a callback in memory, or 0 for other frames.
+fn callback_bytes(frame: &HandoverFrame) -> usize {
+    let HandoverFrame::Callback { callback, .. } = frame else { return 0 };
+    let result = match &callback.event {
+        CallbackEvent::Completed(result) => result.len(),
+        CallbackEvent::Started | CallbackEvent::Progress(_) | CallbackEvent::Ended(_) => 0,
+    };
+    size_of::<HandoverFrame>() + callback.request_name.len() + callback.worker_name.len() + result
+}
+
 /// The sending side of a link. A separate task writes the frames in the order in which they were sent.
 #[derive(Clone)]
 pub struct FrameSender {
@@ -103,6 +118,11 @@
         }
     }
 
+    /// Size of the callbacks that are not fully written yet, in bytes.
+    pub fn unwritten_callback_bytes(&self) -> usize {
+        self.unwritten.callback_bytes.get()
+    }
+
     /// Whether the other process reads endpoint lists too slowly for another update to be queued.
     pub fn is_behind_with_lists(&self) -> bool {
         self.unwritten.list_parts.get() >= MAX_UNWRITTEN_LIST_PARTS
--- a/src/server/lifecycle/peer_processes.rs
+++ b/src/server/lifecycle/peer_processes.rs
@@ -12,8 +12,12 @@
 
 use crate::server::executed_requests::{ExecutedRequest, ExecutedRequests};
 use crate::server::lifecycle::handover_frames::{EndpointListPart, FrameSender, HandoverFrame};
-use crate::server::messages::{PeerProcessId, ProcessRole};
+use crate::server::messages::{PeerProcessId, ProcessRole, WorkerCallback};
 
+/// Maximum size of the callbacks that wait to be written to a process and are for requests open there, in bytes.
+const MAX_RELAYED_BYTES: usize = 4 * 1024 * 1024;
+/// The same for callbacks that match no open request, and may be for one that the process has just opened.
+const MAX_UNMATCHED_RELAYED_BYTES: usize = 256 * 1024;
 /// Number of requests in one frame.
 const MAX_EXECUTED_PER_FRAME: usize = 1024;
 
@@ -175,6 +179,28 @@
         behind.map(|peer| peer.id).collect()
     }
 
+    /// Relays a callback to all peers except one. `migrated` is whether its request has migrated to the successor. Returns
+    /// whether it was relayed to any peer: one that does not read the earlier ones gets none.
+    pub fn relay_callback(
+        &self,
+        excluded: Option<PeerProcessId>,
+        migrated: bool,
+        callback: &WorkerCallback,
+        relays: u8,
+    ) -> bool {
+        let mut sent = false;
+        for peer in self.peers.borrow().iter().filter(|peer| Some(peer.id) != excluded) {
+            let is_open_there = migrated || peer.open_requests.contains(&callback.request_name);
+            let limit = if is_open_there { MAX_RELAYED_BYTES } else { MAX_UNMATCHED_RELAYED_BYTES };
+            if peer.sender.unwritten_callback_bytes() >= limit {
+                continue;
+            }
+            peer.sender.send(HandoverFrame::Callback { callback: callback.clone(), relays }, None);
+            sent = true;
+        }
+        sent
+    }
+
     /// Records that a request was opened in a peer process, and notifies the other peers.
     pub fn request_opened(&self, id: PeerProcessId, request: Bytes) {
         if let Some(peer) = self.peers.borrow_mut().iter_mut().find(|peer| peer.id == id) {
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -55,6 +55,8 @@
             pub descriptors: DescriptorMetrics,
             /// Version of the endpoint list in use.
             pub pool_version: Gauge,
+            /// Messages that wait in the engine's queue.
+            pub engine_queue: Gauge,
         }
 
         impl Counters {
@@ -192,6 +194,7 @@
         }
         // Last, because programs may rely on the order of the other lines.
         counters.descriptors.write_lines(f)?;
-        writeln!(f, "svc.pool_version={}", counters.pool_version.get())
+        writeln!(f, "svc.pool_version={}", counters.pool_version.get())?;
+        writeln!(f, "svc.engine_queue={}", counters.engine_queue.get())
     }
 }
--- a/src/server/metrics/tests.rs
+++ b/src/server/metrics/tests.rs
@@ -98,6 +98,7 @@
 svc.descriptors.workers=0
 svc.descriptors.workers.limit=0
 svc.pool_version=0
+svc.engine_queue=0
 ";
 
 #[test]
--- a/src/server/peers/gossip_transport.rs
+++ b/src/server/peers/gossip_transport.rs
@@ -133,7 +133,7 @@
                 }
                 received = socket.recv_from(&mut buffer) => match received {
                     Err(error) => return error,
-                    Ok((length, source)) => self.handle_received(addresses, source, &buffer[..length]),
+                    Ok((length, source)) => self.handle_received(addresses, source, &buffer[..length]).await,
                 },
             }
         }
@@ -149,13 +149,15 @@
 
     /// Queues a received message for the engine. Ignores datagrams that are not gossip messages or whose source is not a
     /// configured peer.
-    fn handle_received(&self, addresses: &GossipAddresses, source: SocketAddr, message: &[u8]) {
+    async fn handle_received(&self, addresses: &GossipAddresses, source: SocketAddr, message: &[u8]) {
         let sender = addresses.peers.iter().position(|peer| *peer == source);
         let Some(sender) = sender.filter(|_| is_message(message)) else {
             self.counters.notes_ignored.add();
             return;
         };
         self.counters.notes_heard.add();
-        self.queue.send(EngineMessage::GossipReceived { from: sender, bytes: message.to_vec() });
+        let slot = self.queue.slot().await;
+        let received = EngineMessage::GossipReceived { from: sender, bytes: message.to_vec() };
+        self.queue.send_in(slot, received);
     }
 }
--- a/src/server/peers/site_links/frames.rs
+++ b/src/server/peers/site_links/frames.rs
@@ -84,7 +84,14 @@
             let next_tick_at = self.links.time_origin + self.link.due();
             let result = tokio::select! {
                 written = write_some(&mut writer, self.link.pending()) => self.handle_written(written),
-                count = reader.read_buf(&mut buffer) => self.handle_read(count, &mut buffer),
+                count = reader.read_buf(&mut buffer) => {
+                    let result = self.handle_read(count, &mut buffer);
+                    if result.is_ok() {
+                        // The peer waits with its next frames until the engine has taken these.
+                        self.links.wait_for_engine().await;
+                    }
+                    result
+                }
                 frame = outbox_receiver.recv(), if self.link.has_room() => self.send(frame),
                 () = sleep_until(next_tick_at) => self.link.tick(self.links.now()).map_err(CloseReason::from),
                 () = address_changed(address_watch) => Err(CloseReason::Closed),
--- a/src/server/peers/site_links/frames/tests.rs
+++ b/src/server/peers/site_links/frames/tests.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::*;
-use crate::server::engine_queue::{EngineMessage, EngineQueue};
+use crate::server::engine_queue::{EngineMessage, EngineQueue, QueuedMessage};
 use crate::server::lifecycle::Lifecycle;
 use crate::server::peers::site_links::settings::SiteLinkSettings;
 
@@ -37,8 +37,8 @@
     Silence,
 }
 
-fn site_links() -> (SiteLinks, mpsc::UnboundedReceiver<EngineMessage>) {
-    let (sender, messages) = mpsc::unbounded_channel();
+fn site_links() -> (SiteLinks, mpsc::UnboundedReceiver<QueuedMessage>) {
+    let (queue, messages) = EngineQueue::channel();
     let file = GatewaySettings {
         site: "a".to_owned(),
         listen: None,
@@ -48,7 +48,6 @@
         link: Config::default(),
     };
     let settings = SiteLinkSettings { file, secret: Secret::new(SECRET).unwrap() };
-    let queue = EngineQueue { sender, next_request_id: Rc::default() };
     let links =
         SiteLinks::new(settings, Incarnation(1), Instant::now(), queue, Rc::new(Lifecycle::default()));
     (Rc::into_inner(links).unwrap(), messages)
@@ -130,7 +129,8 @@
         let (stream, mut peer_stream) = duplex(STREAM_BYTES);
         let established = EstablishedLink { stream, link, peer, direction: Direction::Dialled };
         let serving = spawn_local(async move { links.serve(established, &mut None).await });
-        let Some(EngineMessage::SiteLink(up)) = messages.recv().await else { panic!("no link") };
+        let up = messages.recv().await.map(|queued| queued.message);
+        let Some(EngineMessage::SiteLink(up)) = up else { panic!("no link") };
         let SiteLinkEvent::Up { outbox, .. } = *up else { panic!("not up: {up:?}") };
         for number in 0..OFFERS {
             assert!(outbox.send(offer(number)));
@@ -159,7 +159,7 @@
         drop(open_outbox);
         let mut written = 0;
         let mut is_down = false;
-        while let Ok(EngineMessage::SiteLink(event)) = messages.try_recv() {
+        while let Ok(EngineMessage::SiteLink(event)) = messages.try_recv().map(|queued| queued.message) {
             assert!(!is_down, "{event:?} after the end of the link");
             match *event {
                 SiteLinkEvent::OfferWritten { .. } => written += 1,
--- a/src/server/peers/site_links/links.rs
+++ b/src/server/peers/site_links/links.rs
@@ -86,6 +86,11 @@
         self.queue.send(EngineMessage::SiteLink(Box::new(event)));
     }
 
+    /// Waits until the engine has taken the events of which it was notified so far.
+    pub(super) async fn wait_for_engine(&self) {
+        self.queue.wait_until_taken().await;
+    }
+
     pub(super) fn now(&self) -> Duration {
         self.time_origin.elapsed()
     }
