--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -24,13 +24,14 @@
 use chutesaddle::server::discovery::watch_supervisor::WatchSupervisor;
 use chutesaddle::server::engine::Engine;
 use chutesaddle::server::engine_queue::EngineQueue;
-use chutesaddle::server::frontend::Frontend;
+use chutesaddle::server::frontend::{Frontend, FrontendBudgets};
 use chutesaddle::server::lifecycle::handover::{self, AcquiredListener, Handover, Predecessor};
 use chutesaddle::server::lifecycle::operator_file::{self, OperatorFileError};
 use chutesaddle::server::lifecycle::operator_interface::OperatorInterface;
 use chutesaddle::server::lifecycle::peer_processes::PeerProcesses;
 use chutesaddle::server::lifecycle::reload::ConfigReloader;
 use chutesaddle::server::lifecycle::{Lifecycle, LifecycleEvent, Phase};
+use chutesaddle::server::memory_budget::MemoryBudget;
 use chutesaddle::server::metrics::Counters;
 use chutesaddle::server::peers::gossip_transport::{self, GossipSender, GossipTransport};
 use chutesaddle::server::peers::site_links::{new_incarnation, SiteLinkSettings, SiteLinks};
@@ -167,15 +168,18 @@
     counters: Rc<Counters>,
     lifecycle: Rc<Lifecycle>,
     budgets: Rc<DescriptorBudgets>,
+    message_memory: Rc<MemoryBudget>,
     peers: PeerProcesses,
 }
 
 impl SharedState {
     fn new(config: &Config) -> Self {
         let counters: Rc<Counters> = Rc::default();
-        let budgets = DescriptorBudgets::new(config.descriptor_limit, &counters.descriptors);
+        let budgets = DescriptorBudgets::new(config.limits.descriptors, &counters.descriptors);
+        let message_memory = MemoryBudget::new(config.limits, Rc::clone(&counters.message_memory));
         SharedState {
             counters,
+            message_memory,
             lifecycle: Rc::default(),
             budgets: Rc::new(budgets),
             peers: PeerProcesses::default(),
@@ -257,6 +261,7 @@
         queue,
         connector,
         budgets: Rc::clone(&shared.budgets),
+        message_memory: Rc::clone(&shared.message_memory),
     };
     let known_endpoints = config.known_endpoints;
     Node {
@@ -317,7 +322,7 @@
         queue.clone(),
         Rc::clone(&shared.counters),
         Rc::clone(&shared.lifecycle),
-        shared.budgets.frontend(),
+        FrontendBudgets { connections: shared.budgets.frontend(), memory: Rc::clone(&shared.message_memory) },
     ))
 }
 
@@ -364,6 +369,7 @@
         spawn_local(self.discovery_watch.run(self.discovery_address));
         spawn_local(self.gossip.run());
         spawn_local(self.reload.run(hangup));
+        spawn_local(Rc::clone(&self.frontend).reclaim_memory());
         spawn_local(self.frontend.close_idle_while_draining());
         spawn_local(self.handover.run(predecessor));
         if let Some(site_links) = self.site_links {
--- a/src/config.rs
+++ b/src/config.rs
@@ -19,4 +19,4 @@
 mod platform_file;
 pub mod settings;
 
-pub use platform_file::{Config, ConfigError, GossipAddresses};
+pub use platform_file::{Config, ConfigError, GossipAddresses, ProcessLimits};
--- a/src/config/platform_file.rs
+++ b/src/config/platform_file.rs
@@ -20,6 +20,8 @@
     pub(super) const SEED: &str = "seed";
     pub(super) const LIMITS: &str = "limits";
     pub(super) const DESCRIPTOR_LIMIT: &str = "sockets";
+    /// In mebibytes.
+    pub(super) const MEMORY_LIMIT_MB: &str = "memory_mb";
     pub(super) const GOSSIP_LISTEN: &str = "peer_listen";
     pub(super) const GOSSIP_PEERS: &str = "peers";
     pub(super) const GOSSIP_BROADCAST: &str = "peers_all";
@@ -29,6 +31,9 @@
 
 /// Assumed limit on file descriptors if the platform file specifies none.
 const DEFAULT_DESCRIPTOR_LIMIT: usize = 1024;
+/// Assumed memory limit in mebibytes if the platform file specifies none.
+const DEFAULT_MEMORY_LIMIT_MB: usize = 192;
+const BYTES_PER_MEBIBYTE: usize = 1024 * 1024;
 
 /// Why a platform file cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -65,8 +70,8 @@
     pub discovery: SocketAddr,
     /// Seed of the random number generators; differs between starts.
     pub seed: u64,
-    /// Maximum number of file descriptors that the process may have open.
-    pub descriptor_limit: usize,
+    /// What the platform allows to the scheduler.
+    pub limits: ProcessLimits,
     /// Addresses for gossip, if the settings allow gossip and the file contains the addresses.
     pub gossip: Option<GossipAddresses>,
     /// The deployment's settings.
@@ -75,6 +80,15 @@
     pub known_endpoints: EndpointListUpdate,
 }
 
+/// What the platform allows to all processes of a scheduler together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Maximum number of open file descriptors.
+    pub descriptors: usize,
+    /// Memory in bytes.
+    pub memory_bytes: usize,
+}
+
 /// Addresses for gossip messages between schedulers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GossipAddresses {
@@ -129,6 +143,8 @@
         let known_endpoints = known_endpoints.and_then(|known| EndpointListUpdate::parse(&known));
         let limits = root.get(fields::LIMITS);
         let descriptor_limit = limits.and_then(|limits| limits.get_usize(fields::DESCRIPTOR_LIMIT));
+        let memory_limit_mb = limits.and_then(|limits| limits.get_usize(fields::MEMORY_LIMIT_MB));
+        let memory_limit_mb = memory_limit_mb.unwrap_or(DEFAULT_MEMORY_LIMIT_MB);
         let has_operator_listen = root.get(fields::OPERATOR_LISTEN).is_some();
         Ok(Config {
             name: required_str(&root, fields::NAME)?.to_owned(),
@@ -140,7 +156,10 @@
             },
             discovery: required_address(&root, fields::DISCOVERY)?,
             seed: u64::from_str_radix(seed, 16).map_err(|_| ConfigError::Field(fields::SEED))?,
-            descriptor_limit: descriptor_limit.unwrap_or(DEFAULT_DESCRIPTOR_LIMIT),
+            limits: ProcessLimits {
+                descriptors: descriptor_limit.unwrap_or(DEFAULT_DESCRIPTOR_LIMIT),
+                memory_bytes: memory_limit_mb.saturating_mul(BYTES_PER_MEBIBYTE),
+            },
             gossip,
             settings,
             known_endpoints: known_endpoints.unwrap_or_default(),
--- a/src/server.rs
+++ b/src/server.rs
@@ -24,5 +24,6 @@
 pub mod executed_requests;
 pub mod http;
 pub mod load_report;
+pub mod memory_budget;
 pub mod messages;
 pub mod metrics;
--- a/src/server/engine/request_table/tests.rs
+++ b/src/server/engine/request_table/tests.rs
@@ -22,6 +22,7 @@
             key: None,
             content_type: None,
             body: Bytes::new(),
+            held: Default::default(),
         },
         origin: None,
     }
--- a/src/server/engine/site_forwarding/inbound.rs
+++ b/src/server/engine/site_forwarding/inbound.rs
@@ -13,6 +13,7 @@
 use crate::scheduling::Settings;
 use crate::server::engine::Engine;
 use crate::server::engine_queue::EngineMessage;
+use crate::server::memory_budget::HeldMemory;
 use crate::server::messages::{affinity_key_of, ClientRequest, RequestPayload};
 use crate::server::peers::site_messages::SiteLinkEvent;
 
@@ -87,7 +88,14 @@
         memory: memory.max(0.0),
         estimated_work_s,
         affinity_key: affinity_key_of(&target),
-        payload: RequestPayload { name: request_id, target, key, content_type, body },
+        payload: RequestPayload {
+            name: request_id,
+            target,
+            key,
+            content_type,
+            body,
+            held: HeldMemory::default(),
+        },
         origin: Some(origin),
     }
 }
--- a/src/server/engine_queue.rs
+++ b/src/server/engine_queue.rs
@@ -16,6 +16,7 @@
 use crate::server::descriptor_budget::SuccessorState;
 use crate::server::discovery::list_tracker::EndpointListNews;
 use crate::server::load_report::RawLoadReport;
+use crate::server::memory_budget::HeldMemory;
 use crate::server::messages::{
     CallbackRelay, ClientRequest, FinalAnswer, MigratedRequest, PeerProcessId, ProcessRole, WorkerCallback,
 };
@@ -120,6 +121,15 @@
 /// A place in the queue, free again once the engine has taken its message.
 pub struct QueueSlot {
     _permit: OwnedSemaphorePermit,
+    _held: HeldMemory,
+}
+
+impl QueueSlot {
+    /// Keeps the memory of the message charged while it waits in the queue.
+    #[must_use]
+    pub fn holding(self, held: HeldMemory) -> Self {
+        QueueSlot { _held: held, ..self }
+    }
 }
 
 /// A message in the queue.
@@ -160,7 +170,7 @@
     /// others waiting for long.
     pub async fn slot(&self) -> QueueSlot {
         match Arc::clone(&self.slots).acquire_owned().await {
-            Ok(permit) => QueueSlot { _permit: permit },
+            Ok(permit) => QueueSlot { _permit: permit, _held: HeldMemory::default() },
             // The semaphore is never closed.
             Err(_) => std::future::pending().await,
         }
--- a/src/server/frontend.rs
+++ b/src/server/frontend.rs
@@ -9,7 +9,8 @@
 //! - `request_parser`, `callback_parser`: message parsing; `wire_names`: paths, headers and field names.
 //! - `response`: building and writing responses.
 //! - `closing`: lingering closes, and closing of idle connections while the process drains.
-//! - [`connection_eviction`]: the order in which connections are closed when descriptors run short.
+//! - [`connection_eviction`]: the order in which connections are closed when descriptors or memory run short.
+//! - `memory_reclaim`: evicts connections when memory runs short.
 //! - [`connection_handoff`]: handover of connections and requests between processes during an upgrade.
 //!
 //! Everything runs on one thread: cells need no locks, and shared state cannot change between two `await`s.
@@ -21,6 +22,7 @@
 pub mod connection_eviction;
 pub mod connection_handoff;
 mod connection_state;
+mod memory_reclaim;
 mod request_handling;
 mod request_parser;
 mod response;
@@ -36,10 +38,19 @@
 use crate::server::engine_queue::EngineQueue;
 use crate::server::lifecycle::handover_frames::FrameSender;
 use crate::server::lifecycle::Lifecycle;
+use crate::server::memory_budget::MemoryBudget;
 use crate::server::metrics::Counters;
 use closing::DISCARD_BYTES;
 use connection_eviction::EvictionCandidates;
 
+/// What a frontend may use.
+pub struct FrontendBudgets {
+    /// Descriptors of connections.
+    pub connections: Rc<DescriptorBudget>,
+    /// Memory of messages.
+    pub memory: Rc<MemoryBudget>,
+}
+
 /// The frontend of one scheduler.
 pub struct Frontend {
     settings: RefCell<Rc<Settings>>,
@@ -47,6 +58,8 @@
     counters: Rc<Counters>,
     /// Descriptor budget for client connections.
     connections: Rc<DescriptorBudget>,
+    /// Memory budget for messages.
+    memory: Rc<MemoryBudget>,
     /// Connections that can be closed when descriptors run short.
     eviction_candidates: EvictionCandidates,
     /// Messages received whose response has not been written yet. Nearly all are requests.
@@ -61,19 +74,20 @@
 }
 
 impl Frontend {
-    /// Creates a frontend that keeps its connections within the budget `connections`.
+    /// Creates a frontend that keeps its connections and messages within `budgets`.
     pub fn new(
         settings: Settings,
         queue: EngineQueue,
         counters: Rc<Counters>,
         lifecycle: Rc<Lifecycle>,
-        connections: Rc<DescriptorBudget>,
+        budgets: FrontendBudgets,
     ) -> Self {
         Frontend {
             settings: RefCell::new(Rc::new(settings)),
             queue,
             counters,
-            connections,
+            connections: budgets.connections,
+            memory: budgets.memory,
             eviction_candidates: EvictionCandidates::default(),
             unanswered: Cell::new(0),
             lingering: Cell::new(0),
--- a/src/server/frontend/accept_loop.rs
+++ b/src/server/frontend/accept_loop.rs
@@ -36,7 +36,7 @@
                     self.counters.connections_accepted.add();
                     let frontend = Rc::clone(&self);
                     tokio::task::spawn_local(async move {
-                        let http = Connection::new(stream);
+                        let http = Connection::accepted(stream, &frontend.memory);
                         frontend.serve(ClientConnection::new(http, EvictionClass::NeverUsed, false)).await;
                         drop(permit);
                     });
--- a/src/server/frontend/client_connection.rs
+++ b/src/server/frontend/client_connection.rs
@@ -8,11 +8,12 @@
 use tokio::task::yield_now;
 use tokio::time::{timeout_at, Instant};
 
-use super::connection_eviction::EvictionClass;
+use super::connection_eviction::{EvictionClass, EvictionReason};
 use super::connection_state::{ConnectionState, Message};
 use super::response::Response;
 use super::Frontend;
 use crate::server::http::{Connection, HttpError};
+use crate::server::memory_budget::MemoryExhausted;
 
 /// A connection is closed if it is idle between two messages for longer than this.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
@@ -63,6 +64,7 @@
 
     /// Waits for the first byte of a message.
     async fn await_message(&self, client: &mut ClientConnection) -> ConnectionState {
+        client.http.release_allocation();
         if client.http.has_input() {
             return ConnectionState::ReceivingMessage; // pipelined
         }
@@ -81,7 +83,7 @@
                         Err(_elapsed) => close_idle(client),
                     };
                 }
-                () = candidate.evicted() => yield_now().await,
+                _ = candidate.evicted() => yield_now().await,
             }
         }
         // Do not lose a message that has arrived in the socket but has not been read.
@@ -101,13 +103,17 @@
         }
         let deadline = client.message_started_at + MESSAGE_TIMEOUT;
         let received = {
-            let candidate = self.eviction_candidates.register_receiving(client.http.last_received());
+            let (last_received, charged) = (client.http.last_received(), client.http.charged_bytes());
+            let candidate = self.eviction_candidates.register_receiving(last_received, charged);
             tokio::select! {
                 biased;
                 message = timeout_at(deadline, read_message(&mut client.http)) => {
                     message.unwrap_or(Err(HttpError::TimedOut))
                 }
-                () = candidate.evicted() => return ConnectionState::Closed,
+                reason = candidate.evicted() => match reason {
+                    EvictionReason::Descriptors => return ConnectionState::Closed,
+                    EvictionReason::Memory => Err(HttpError::MemoryExhausted(MemoryExhausted)),
+                },
             }
         };
         match received {
@@ -121,7 +127,11 @@
         let Some(response) = Response::for_unreadable_message(error) else {
             return ConnectionState::Closed;
         };
-        self.counters.messages_rejected.add();
+        client.http.drop_input();
+        match error {
+            HttpError::MemoryExhausted(_) => self.count_memory_shortage(),
+            _ => drop(self.counters.messages_rejected.add()),
+        }
         self.write_response(&mut client.http, response, false).await
     }
 }
@@ -142,5 +152,6 @@
         connection.write(&[b"HTTP/1.1 100 Continue\r\n\r\n"]).await?;
     }
     let body = connection.body(&head).await?;
-    Ok(Message { head, body })
+    let held = connection.move_charge_to_message()?;
+    Ok(Message { head, body, held })
 }
--- a/src/server/frontend/closing.rs
+++ b/src/server/frontend/closing.rs
@@ -49,7 +49,7 @@
         tokio::select! {
             // The connection is closed both on the timeout and when the client has closed its side.
             _ = timeout(LINGER_TIMEOUT, self.discard_until_close(&connection)) => {}
-            () = candidate.evicted() => {}
+            _ = candidate.evicted() => {}
         }
     }
 
--- a/src/server/frontend/connection_eviction.rs
+++ b/src/server/frontend/connection_eviction.rs
@@ -1,4 +1,4 @@
-//! The order in which connections are closed when descriptors run short or the process drains.
+//! The order in which connections are closed when descriptors or memory run short or the process drains.
 //!
 //! A connection is registered here while it may be closed: when it is idle, lingering, or still receiving a message. It
 //! is never registered while a request on it awaits its answer.
@@ -32,6 +32,18 @@
 /// When bytes were last received on a connection.
 pub type LastReceived = Rc<Cell<Instant>>;
 
+/// The memory that is charged to a connection, in bytes.
+pub type ChargedBytes = Rc<Cell<usize>>;
+
+/// Why a connection is evicted while it receives a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvictionReason {
+    /// Its descriptor is needed.
+    Descriptors,
+    /// Its memory is needed.
+    Memory,
+}
+
 /// Sequence number of a registration; lower numbers are older.
 type RegistrationId = u64;
 
@@ -45,13 +57,37 @@
 /// A connection that is receiving a message.
 struct ReceivingConnection {
     last_received: LastReceived,
-    evicted: Rc<Notify>,
+    charged: ChargedBytes,
+    eviction: Rc<Eviction>,
+}
+
+impl ReceivingConnection {
+    fn is_stalled(&self) -> bool {
+        self.last_received.get().elapsed() >= STALLED_AFTER
+    }
+}
+
+/// Tells a connection that it is evicted, and why.
+struct Eviction {
+    evicted: Notify,
+    reason: Cell<EvictionReason>,
+}
+
+impl Eviction {
+    fn new() -> Rc<Self> {
+        Rc::new(Eviction { evicted: Notify::new(), reason: Cell::new(EvictionReason::Descriptors) })
+    }
+
+    fn evict(&self, reason: EvictionReason) {
+        self.reason.set(reason);
+        self.evicted.notify_one();
+    }
 }
 
 /// The connections that may be evicted.
 #[derive(Default)]
 pub struct EvictionCandidates {
-    idle: RefCell<BTreeMap<IdleKey, Rc<Notify>>>,
+    idle: RefCell<BTreeMap<IdleKey, Rc<Eviction>>>,
     receiving: RefCell<BTreeMap<RegistrationId, ReceivingConnection>>,
     next_registration: Cell<RegistrationId>,
 }
@@ -64,18 +100,22 @@
     /// Registers an idle connection until the handle is dropped.
     pub fn register_idle(&self, class: EvictionClass) -> EvictionHandle<'_> {
         let key = IdleKey { class, registration: self.next_registration() };
-        let evicted = Rc::new(Notify::new());
-        self.idle.borrow_mut().insert(key, Rc::clone(&evicted));
-        EvictionHandle { candidates: self, key: CandidateKey::Idle(key), evicted }
+        let eviction = Eviction::new();
+        self.idle.borrow_mut().insert(key, Rc::clone(&eviction));
+        EvictionHandle { candidates: self, key: CandidateKey::Idle(key), eviction }
     }
 
     /// Registers a connection that is receiving a message, until the handle is dropped.
-    pub fn register_receiving(&self, last_received: LastReceived) -> EvictionHandle<'_> {
+    pub fn register_receiving(
+        &self,
+        last_received: LastReceived,
+        charged: ChargedBytes,
+    ) -> EvictionHandle<'_> {
         let registration = self.next_registration();
-        let evicted = Rc::new(Notify::new());
-        let connection = ReceivingConnection { last_received, evicted: Rc::clone(&evicted) };
+        let eviction = Eviction::new();
+        let connection = ReceivingConnection { last_received, charged, eviction: Rc::clone(&eviction) };
         self.receiving.borrow_mut().insert(registration, connection);
-        EvictionHandle { candidates: self, key: CandidateKey::Receiving(registration), evicted }
+        EvictionHandle { candidates: self, key: CandidateKey::Receiving(registration), eviction }
     }
 
     /// Number of connections that are receiving a message.
@@ -91,7 +131,7 @@
         if first.key().class > highest {
             return false;
         }
-        first.remove().notify_one();
+        first.remove().evict(EvictionReason::Descriptors);
         true
     }
 
@@ -115,14 +155,36 @@
         let mut receiving = self.receiving.borrow_mut();
         let oldest = receiving.iter().min_by_key(|(_, connection)| connection.last_received.get());
         let Some((registration, connection)) = oldest else { return false };
-        if connection.last_received.get().elapsed() < STALLED_AFTER {
+        if !connection.is_stalled() {
             return false;
         }
         let registration = *registration;
         let Some(stalled) = receiving.remove(&registration) else { return false };
-        stalled.evicted.notify_one();
+        stalled.eviction.evict(EvictionReason::Descriptors);
         true
     }
+
+    /// Evicts connections that are receiving a message until `excess` bytes are freed. Stalled ones go first, then those
+    /// with the most memory, so that a small message is received whatever the others send.
+    pub fn evict_for_memory(&self, excess: usize) {
+        let mut receiving = self.receiving.borrow_mut();
+        let mut order: Vec<_> = receiving
+            .iter()
+            .filter(|(_, connection)| connection.charged.get() > 0)
+            .map(|(id, connection)| (connection.is_stalled(), connection.charged.get(), *id))
+            .collect();
+        order.sort_unstable_by(|first, second| second.cmp(first));
+        let mut freed = 0;
+        for (_, charged, id) in order {
+            if freed >= excess {
+                break;
+            }
+            if let Some(connection) = receiving.remove(&id) {
+                connection.eviction.evict(EvictionReason::Memory);
+                freed += charged;
+            }
+        }
+    }
 }
 
 enum CandidateKey {
@@ -134,13 +196,14 @@
 pub struct EvictionHandle<'a> {
     candidates: &'a EvictionCandidates,
     key: CandidateKey,
-    evicted: Rc<Notify>,
+    eviction: Rc<Eviction>,
 }
 
 impl EvictionHandle<'_> {
-    /// Waits until the connection is evicted.
-    pub async fn evicted(&self) {
-        self.evicted.notified().await;
+    /// Waits until the connection is evicted, and returns why.
+    pub async fn evicted(&self) -> EvictionReason {
+        self.eviction.evicted.notified().await;
+        self.eviction.reason.get()
     }
 }
 
--- a/src/server/frontend/connection_handoff.rs
+++ b/src/server/frontend/connection_handoff.rs
@@ -18,6 +18,7 @@
 use crate::server::engine_queue::PendingAnswer;
 use crate::server::http::Connection;
 use crate::server::lifecycle::handover_frames::{FrameSender, HandoverFrame};
+use crate::server::memory_budget::HeldMemory;
 use crate::server::messages::MigratedRequest;
 
 /// A request that the predecessor handed over with its connection. The engine of this process already has it.
@@ -51,7 +52,8 @@
         let permit = DescriptorBudget::adopt(&self.connections);
         self.counters.connections_adopted.add();
         spawn_local(async move {
-            self.serve(ClientConnection::new(Connection::new(stream), eviction_class, answered)).await;
+            let http = Connection::accepted(stream, &self.memory);
+            self.serve(ClientConnection::new(http, eviction_class, answered)).await;
             drop(permit);
         });
     }
@@ -86,6 +88,11 @@
         }
     }
 
+    /// Charges the memory of a request that the predecessor accepted.
+    pub fn hold_memory(&self, bytes: usize) -> HeldMemory {
+        self.memory.adopt(bytes)
+    }
+
     /// Serves a connection that the predecessor accepted and that has a pending request, in a task of its own.
     pub fn adopt_with_request(self: Rc<Self>, stream: TcpStream, request: PendingRequest) {
         let permit = DescriptorBudget::adopt(&self.connections);
@@ -100,7 +107,7 @@
         let unanswered = CountGuard::increment(&self.unanswered);
         let slack = Duration::from_secs_f64(self.settings().answer_slack_s);
         let give_up_at = Instant::now() + request.time_left + slack;
-        let mut connection = Connection::with_read_ahead(stream, &request.read_ahead);
+        let mut connection = Connection::with_read_ahead(stream, &request.read_ahead, &self.memory);
         let outcome =
             self.await_answer(&mut connection, request.keep_alive, request.answer, give_up_at).await;
         let state = match outcome {
--- a/src/server/frontend/connection_state.rs
+++ b/src/server/frontend/connection_state.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 
 use crate::server::http::Head;
+use crate::server::memory_budget::HeldMemory;
 use crate::server::messages::MigratedRequest;
 
 /// The state of a client connection.
@@ -34,4 +35,6 @@
 pub(super) struct Message {
     pub(super) head: Head,
     pub(super) body: Bytes,
+    /// The memory of both.
+    pub(super) held: HeldMemory,
 }
--- a/src/server/frontend/request_handling.rs
+++ b/src/server/frontend/request_handling.rs
@@ -14,6 +14,7 @@
 use super::{callback_parser, CountGuard, Frontend};
 use crate::server::engine_queue::{EngineMessage, PendingAnswer};
 use crate::server::http::Connection;
+use crate::server::memory_budget::HeldMemory;
 use crate::server::messages::{ClientRequest, FinalAnswer, MigratedRequest};
 
 /// Retry-After in seconds for requests rejected before they reach the engine.
@@ -37,11 +38,12 @@
         message: Message,
     ) -> ConnectionState {
         let _unanswered = CountGuard::increment(&self.unanswered); // until the response is written
-        let Message { head, body } = message;
+        let Message { head, body, held } = message;
         let settings = self.settings();
         let received_at = client.http.message_received_at();
         let response = match request_parser::parse(&head, &body, received_at, &settings) {
-            Ok(ParsedMessage::Request(request)) => {
+            Ok(ParsedMessage::Request(mut request)) => {
+                request.payload.held = held.clone();
                 match self.handle_request(client, head.keep_alive, request).await {
                     RequestOutcome::Answered(response) => {
                         client.eviction_class = EvictionClass::Idle;
@@ -56,7 +58,7 @@
             }
             Ok(ParsedMessage::Callback) => {
                 client.eviction_class = EvictionClass::IdleAfterCallback;
-                self.handle_callback(body).await
+                self.handle_callback(body, held.clone()).await
             }
             Ok(ParsedMessage::Readiness) => self.readiness(),
             Ok(ParsedMessage::Counters) => Response::new("200 OK", self.counters.to_string()),
@@ -80,9 +82,9 @@
     }
 
     /// Passes a callback to the engine, once there is a place in its queue.
-    async fn handle_callback(&self, body: Bytes) -> Response {
+    async fn handle_callback(&self, body: Bytes, held: HeldMemory) -> Response {
         if let Some(callback) = callback_parser::parse(body) {
-            let slot = self.queue.slot().await;
+            let slot = self.queue.slot().await.holding(held);
             self.queue.send_in(slot, EngineMessage::CallbackReceived { callback, relay: None });
             return Response::new("200 OK", "");
         }
--- a/src/server/frontend/request_parser.rs
+++ b/src/server/frontend/request_parser.rs
@@ -13,6 +13,7 @@
 use crate::config::names;
 use crate::scheduling::{Idempotency, Settings};
 use crate::server::http::Head;
+use crate::server::memory_budget::HeldMemory;
 use crate::server::messages::{affinity_key_of, ClientRequest, RequestPayload};
 
 /// Maximum client deadline (1 hour). Longer ones are reduced to it.
@@ -154,6 +155,7 @@
                 key: key.cloned(),
                 content_type: self.head.headers.raw(headers::CONTENT_TYPE).cloned(),
                 body: body.clone(),
+                held: HeldMemory::default(), // set by the caller
             },
             origin: None,
         })
--- a/src/server/frontend/response.rs
+++ b/src/server/frontend/response.rs
@@ -15,6 +15,9 @@
 /// Time within which a response must be written to the client's socket.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Retry-After in seconds for messages that were not received for lack of memory.
+const MEMORY_RETRY_AFTER_S: f64 = 0.5;
+
 const SERVICE_UNAVAILABLE: &str = "503 Service Unavailable";
 
 /// An HTTP response.
@@ -52,6 +55,7 @@
             HttpError::HeadTooLong => "431 Request Header Fields Too Large",
             HttpError::BodyTooLong => "413 Content Too Large",
             HttpError::TimedOut => "408 Request Timeout",
+            HttpError::MemoryExhausted(_) => return Some(Response::rejected(MEMORY_RETRY_AFTER_S)),
         };
         let reason = match error {
             HttpError::BodyTooLong => format!("request body exceeds {MAX_BODY_BYTES} bytes\n"),
@@ -113,6 +117,7 @@
     ) -> ConnectionState {
         let is_draining = self.lifecycle.phase().is_draining();
         let keep_alive = keep_alive && (self.has_successor() || !is_draining);
+        let _held = self.memory.adopt(response.body.len());
         match write_with_timeout(connection, response, keep_alive).await {
             Ok(()) if keep_alive => ConnectionState::Idle,
             Ok(()) => ConnectionState::Lingering,
--- a/src/server/http/connection.rs
+++ b/src/server/http/connection.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use rustix::io::ioctl_fionread;
 use rustix::net::sockopt::socket_recv_buffer_size;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -15,13 +15,20 @@
 use tokio::time::{sleep, Instant};
 
 use super::arrivals::Arrivals;
-use super::MAX_HEAD_BYTES;
+use super::{HttpError, MAX_HEAD_BYTES};
+use crate::server::memory_budget::{
+    HeldMemory, MemoryBudget, MemoryCharge, MemoryExhausted, UNCHARGED_BYTES,
+};
 
 /// Interval between checks for a close behind unread bytes. It is short because no attempt may start 0.1 s or more
 /// after the client has closed its connection.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Buffer space reserved before each read.
 const READ_BYTES: usize = 4096;
+/// A read into less room than this is not worth its system call.
+const MIN_READ_BYTES: usize = 1024;
+/// Maximum growth of the buffer of an accepted connection in one step.
+const MAX_GROWTH_BYTES: usize = 16 * 1024;
 /// Interim response that probes for a close (RFC 2518, section 10.1). Clients skip interim responses that they do not expect
 /// (RFC 9110, section 15.2).
 const PROCESSING: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
@@ -38,6 +45,14 @@
     /// See [`Connection::last_received`].
     last_received: Rc<Cell<Instant>>,
     arrivals: Arrivals,
+    /// Charges the buffer, and the body that is being assembled; `None` on connections to other servers.
+    memory: Option<MemoryCharge>,
+    /// Size of the allocation that the buffer is in, in bytes. Messages taken from the buffer share it.
+    allocated: usize,
+    /// Whether the message that is received shares the allocation of the buffer.
+    shares_allocation: bool,
+    /// Size of the body that is assembled outside of the buffer, in bytes.
+    assembled: usize,
     /// Rest of an interim response that was written in part.
     unwritten_interim: &'static [u8],
     /// Number of times the head parser has run.
@@ -63,6 +78,10 @@
             buffer: BytesMut::new(),
             last_received: Rc::new(Cell::new(Instant::now())),
             arrivals: Arrivals::default(),
+            memory: None,
+            allocated: 0,
+            shares_allocation: false,
+            assembled: 0,
             unwritten_interim: &[],
             head_parses: 0,
         }
@@ -76,14 +95,112 @@
         TcpStream::connect(address).await.map(Connection::new)
     }
 
-    /// Wraps a connection from which another process has already received `read_ahead`. These bytes count as received
-    /// now, because their receive times are not handed over.
-    pub fn with_read_ahead(stream: TcpStream, read_ahead: &[u8]) -> Self {
-        let mut connection = Connection { buffer: BytesMut::from(read_ahead), ..Connection::new(stream) };
+    /// Wraps an accepted connection, whose memory is charged to `budget`.
+    pub fn accepted(stream: TcpStream, budget: &Rc<MemoryBudget>) -> Self {
+        Connection { memory: Some(budget.charge()), ..Connection::new(stream) }
+    }
+
+    /// Wraps an accepted connection from which another process has already received `read_ahead`. These bytes count as
+    /// received now, because their receive times are not handed over.
+    pub fn with_read_ahead(stream: TcpStream, read_ahead: &[u8], budget: &Rc<MemoryBudget>) -> Self {
+        let buffer = BytesMut::from(read_ahead);
+        let mut connection = Connection { buffer, ..Connection::accepted(stream, budget) };
         connection.arrivals.record(read_ahead.len(), Instant::now());
+        connection.allocated = read_ahead.len();
+        connection.charge_allocated();
         connection
     }
 
+    /// The charged bytes. The cell shows later changes too, but not after the charge was moved to a message.
+    pub fn charged_bytes(&self) -> Rc<Cell<usize>> {
+        self.memory.as_ref().map(MemoryCharge::bytes).unwrap_or_default()
+    }
+
+    /// Moves the charge to the message that was received last.
+    ///
+    /// # Errors
+    /// Returns an error if received messages hold too much memory already.
+    pub fn move_charge_to_message(&mut self) -> Result<HeldMemory, MemoryExhausted> {
+        let is_charged = self.shares_allocation || self.assembled > 0;
+        let Some(memory) = self.memory.as_mut().filter(|_| is_charged) else {
+            return Ok(HeldMemory::default());
+        };
+        let held = memory.move_to_message()?;
+        self.shares_allocation = false;
+        self.assembled = 0;
+        Ok(held)
+    }
+
+    /// Takes the next `length` bytes from the buffer. On an accepted connection, a small part of a large allocation is
+    /// copied, so that it does not keep the whole of it.
+    pub(super) fn take(&mut self, length: usize) -> Bytes {
+        let is_large = self.memory.is_some() && self.allocated > UNCHARGED_BYTES;
+        if is_large && length <= UNCHARGED_BYTES {
+            let taken = Bytes::copy_from_slice(&self.buffer[..length]);
+            self.buffer.advance(length);
+            return taken;
+        }
+        self.shares_allocation |= is_large;
+        self.buffer.split_to(length).freeze()
+    }
+
+    /// Gives up the allocation that the buffer shares with earlier messages, if it is large.
+    pub fn release_allocation(&mut self) {
+        if self.allocated <= UNCHARGED_BYTES {
+            return;
+        }
+        self.buffer = BytesMut::from(&self.buffer[..]);
+        self.allocated = self.buffer.capacity();
+        self.charge_allocated();
+    }
+
+    /// Drops the input that was received and not handled, and its charge.
+    pub fn drop_input(&mut self) {
+        self.buffer = BytesMut::new();
+        self.allocated = 0;
+        self.shares_allocation = false;
+        self.assembled = 0;
+        self.charge_allocated();
+    }
+
+    /// Charges what is allocated, also beyond the limit of the budget.
+    fn charge_allocated(&mut self) {
+        if let Some(memory) = &mut self.memory {
+            memory.set((self.allocated + self.assembled).saturating_sub(UNCHARGED_BYTES));
+        }
+    }
+
+    /// Charges a body of `assembled` bytes outside of the buffer.
+    pub(super) fn charge_assembled(&mut self, assembled: usize) -> Result<(), MemoryExhausted> {
+        if let Some(memory) = &mut self.memory {
+            memory.try_set((self.allocated + assembled).saturating_sub(UNCHARGED_BYTES))?;
+        }
+        self.assembled = assembled;
+        Ok(())
+    }
+
+    /// Makes room in the buffer for another read. On an accepted connection the buffer grows in small steps, each of which is
+    /// charged first.
+    fn reserve(&mut self) -> Result<(), MemoryExhausted> {
+        let Some(memory) = &mut self.memory else {
+            self.buffer.reserve(READ_BYTES);
+            return Ok(());
+        };
+        let has_room = self.buffer.capacity() - self.buffer.len() >= MIN_READ_BYTES;
+        if has_room || self.buffer.try_reclaim(MIN_READ_BYTES) {
+            return Ok(());
+        }
+        let length = self.buffer.len();
+        let allocated = length + length.clamp(READ_BYTES, MAX_GROWTH_BYTES);
+        // The allocation of before is shared with messages that hold their own charge, or freed below.
+        memory.try_set((allocated + self.assembled).saturating_sub(UNCHARGED_BYTES))?;
+        let mut grown = BytesMut::with_capacity(allocated);
+        grown.extend_from_slice(&self.buffer);
+        self.buffer = grown;
+        self.allocated = allocated;
+        Ok(())
+    }
+
     /// Splits the connection into its socket and buffered bytes, to hand it over to another process.
     ///
     /// # Errors
@@ -137,7 +254,9 @@
     /// Receives bytes that are already available, without waiting. Returns false if it received none, which includes
     /// the end of the stream and errors.
     pub fn receive_available(&mut self) -> bool {
-        self.buffer.reserve(READ_BYTES);
+        if self.reserve().is_err() {
+            return false;
+        }
         // An error counts as no data. The kernel reports a pending socket error only once, so it is lost here.
         let read = self.stream.try_read_buf(&mut self.buffer).unwrap_or(0);
         self.arrivals.record(read, Instant::now());
@@ -147,13 +266,13 @@
     /// Waits for bytes and receives them into the buffer. Returns 0 once the peer has closed its side.
     ///
     /// # Errors
-    /// Returns any I/O error of the read.
-    pub async fn receive(&mut self) -> io::Result<usize> {
-        self.buffer.reserve(READ_BYTES);
+    /// Returns any I/O error of the read, or an error if there is no memory for a larger buffer.
+    pub async fn receive(&mut self) -> Result<usize, HttpError> {
+        self.reserve()?;
         let read = self.stream.read_buf(&mut self.buffer).await;
         self.last_received.set(Instant::now());
         self.arrivals.record(*read.as_ref().unwrap_or(&0), self.last_received.get());
-        read
+        Ok(read?)
     }
 
     /// Waits until the peer closes its side or the connection fails.
@@ -166,8 +285,10 @@
     /// connection was closed. The peer must be a client that waits for the response to an HTTP/1.1 request.
     pub async fn wait_for_close(&mut self) {
         while self.buffer.len() < MAX_HEAD_BYTES {
-            if matches!(self.receive().await, Ok(0) | Err(_)) {
-                return;
+            match self.receive().await {
+                Err(HttpError::MemoryExhausted(_)) => break,
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
             }
         }
         let mut unread_before = None;
@@ -227,7 +348,7 @@
     pub async fn half_close(&mut self) {
         // If this fails, the connection is broken and the next read returns the error.
         let _ = self.stream.shutdown().await;
-        self.buffer = BytesMut::new();
+        self.drop_input();
     }
 
     /// Waits until there are bytes to read or the peer has closed its side.
--- a/src/server/http/error.rs
+++ b/src/server/http/error.rs
@@ -4,6 +4,7 @@
 
 use super::head::MAX_HEADERS;
 use super::MAX_HEAD_BYTES;
+use crate::server::memory_budget::MemoryExhausted;
 
 /// An error while reading a message.
 #[derive(Debug, thiserror::Error)]
@@ -26,6 +27,9 @@
     /// The body, or a chunk of it, exceeds the reader's limit.
     #[error("message body exceeds the size limit")]
     BodyTooLong,
+    /// The memory for messages is used up.
+    #[error(transparent)]
+    MemoryExhausted(#[from] MemoryExhausted),
     /// The message was not received in time.
     #[error("timed out before the whole message was received")]
     TimedOut,
--- a/src/server/http/head.rs
+++ b/src/server/http/head.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
 use super::headers::{Header, Headers};
 use super::{HttpError, MAX_BODY_BYTES};
@@ -101,9 +101,13 @@
         }))
     }
 
-    /// Splits the head off the buffer without copying it.
-    pub(super) fn take_from(self, buffer: &mut BytesMut) -> Result<Head, HttpError> {
-        let bytes = buffer.split_to(self.length).freeze();
+    /// Number of bytes of the head.
+    pub(super) fn length(&self) -> usize {
+        self.length
+    }
+
+    /// The head, given its bytes.
+    pub(super) fn into_head(self, bytes: &Bytes) -> Result<Head, HttpError> {
         let headers = self.headers.into_iter();
         let headers = headers
             .map(|header| Header { name: bytes.slice(header.name), value: bytes.slice(header.value) })
--- a/src/server/http/head_reader.rs
+++ b/src/server/http/head_reader.rs
@@ -39,7 +39,8 @@
                 parsed_bytes = self.buffer.len();
                 self.head_parses += 1;
                 if let Some(spans) = parse(&self.buffer)? {
-                    return spans.take_from(&mut self.buffer);
+                    let bytes = self.take(spans.length());
+                    return spans.into_head(&bytes);
                 }
             }
             if self.buffer.len() >= MAX_HEAD_BYTES {
--- a/src/server/lifecycle/handover.rs
+++ b/src/server/lifecycle/handover.rs
@@ -272,7 +272,8 @@
     /// Takes over a request of the predecessor. The request is queued for the engine before the next frame is read,
     /// because that frame may be a callback for it.
     fn receive_migrated_request(&self, peer: PeerProcessId, adopted: AdoptedRequest) {
-        let AdoptedRequest { request, socket, read_ahead, keep_alive } = adopted;
+        let AdoptedRequest { mut request, socket, read_ahead, keep_alive } = adopted;
+        request.payload.held = self.frontend.hold_memory(request.payload.size());
         let stream = adopt_socket(socket);
         let time_left = request.time_left;
         // Without a usable socket, the dropped answer counts as the disconnect of the client.
--- a/src/server/lifecycle/handover/listener.rs
+++ b/src/server/lifecycle/handover/listener.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::server::lifecycle::handover_frames::{
@@ -15,6 +15,8 @@
 
 /// Name of the Unix socket in `$TMPDIR`. Each scheduler has its own `$TMPDIR`.
 const SOCKET_NAME: &str = "handover.sock";
+/// Number of connections that may wait to be accepted. The system may allow fewer.
+const LISTEN_BACKLOG: u32 = 4096;
 /// How long a successor waits for the listener after it has connected to the predecessor.
 const LISTENER_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a new process retries while another process is bound to the address. The other process may be about to
@@ -56,7 +58,7 @@
         if let Some(acquired) = receive_listener(socket_path, address).await {
             return Ok(acquired);
         }
-        let error = match TcpListener::bind(address).await {
+        let error = match listen(address) {
             Ok(listener) => return Ok(AcquiredListener { listener, predecessor: None }),
             Err(error) => error,
         };
@@ -68,6 +70,17 @@
     }
 }
 
+/// Listens at the address. Unlike [`TcpListener::bind`], with a backlog that holds a crowd.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 /// Connects to the predecessor and receives its listener. Returns `None` if there is no predecessor: the socket file of
 /// a process that has exited refuses the connection.
 async fn receive_listener(socket_path: Option<&Path>, address: SocketAddr) -> Option<AcquiredListener> {
--- a/src/server/lifecycle/reload.rs
+++ b/src/server/lifecycle/reload.rs
@@ -19,6 +19,7 @@
 use crate::server::engine_queue::{EngineMessage, EngineQueue};
 use crate::server::frontend::Frontend;
 use crate::server::lifecycle::operator_file::{self, OperatorFileError};
+use crate::server::memory_budget::MemoryBudget;
 use crate::server::peers::site_links::{SiteLinkSettings, SiteLinks};
 use crate::server::workers::connector::WorkerConnector;
 
@@ -74,6 +75,8 @@
     pub connector: Rc<WorkerConnector>,
     /// Descriptor budgets, derived from the configured descriptor limit.
     pub budgets: Rc<DescriptorBudgets>,
+    /// Memory budget for messages, derived from the configured memory limit.
+    pub message_memory: Rc<MemoryBudget>,
 }
 
 impl ConfigReloader {
@@ -104,7 +107,8 @@
             self.settings.reconfigured(config.settings);
         unchanged.extend(changed_restart_only_keys);
         unchanged.extend(self.configure_site_links(site_links));
-        self.budgets.configure(config.descriptor_limit);
+        self.budgets.configure(config.limits.descriptors);
+        self.message_memory.configure(config.limits);
         self.connector.configure(settings.connect_timeout_s, settings.connection_idle_timeout_s);
         // The engine must receive the new settings before any request whose class index refers to them.
         self.queue.send(EngineMessage::SettingsChanged(Box::new(settings.clone())));
--- a/src/server/load_report.rs
+++ b/src/server/load_report.rs
@@ -9,12 +9,15 @@
 /// The field of a JSON object that contains a report.
 const REPORT_FIELD: &str = "load";
 
+/// Maximum number of values in a report. The settings name four at most.
+const MAX_VALUES: usize = 64;
+
 /// The values of a load report by name, before they are resolved with the settings.
 pub type RawLoadReport = Vec<(String, f64)>;
 
 /// Parses a report in the header format: `name=value,name=value`.
 pub fn from_header(text: &str) -> RawLoadReport {
-    text.split(',').filter_map(parse_pair).collect()
+    text.split(',').filter_map(parse_pair).take(MAX_VALUES).collect()
 }
 
 fn parse_pair(pair: &str) -> Option<(String, f64)> {
@@ -47,7 +50,7 @@
 fn from_object(value: &Value) -> RawLoadReport {
     let Some(object) = value.as_object() else { return RawLoadReport::new() };
     let mut report = RawLoadReport::new();
-    for (name, value) in object.iter() {
+    for (name, value) in object.iter().take(MAX_VALUES) {
         if let Some(number) = value.cast_f64() {
             report.push((name.to_owned(), number));
         }
--- a/src/server/messages.rs
+++ b/src/server/messages.rs
@@ -19,6 +19,7 @@
 
 use crate::scheduling::RequestRecord;
 use crate::server::attempt_end::AttemptEnd;
+use crate::server::memory_budget::HeldMemory;
 
 /// Hashes a name. The hash is the same in all schedulers and builds, so that they make the same choices from it.
 pub fn stable_hash(name: &[u8]) -> u64 {
@@ -49,6 +50,18 @@
     pub content_type: Option<Bytes>,
     /// The body.
     pub body: Bytes,
+    /// The memory of all of it, in this process.
+    #[serde(skip)]
+    pub held: HeldMemory,
+}
+
+impl RequestPayload {
+    /// Size of all parts, in bytes.
+    pub fn size(&self) -> usize {
+        let optional = |part: &Option<Bytes>| part.as_ref().map_or(0, Bytes::len);
+        let required = self.name.len() + self.target.len() + self.body.len();
+        required + optional(&self.key) + optional(&self.content_type)
+    }
 }
 
 /// A request as submitted by the frontend, or received from another site.
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -41,6 +41,8 @@
             pub pool_unknown_names: Counter,
             /// Requests whose id is that of a request that may have run and must not run again.
             pub repeated_ids: Counter,
+            /// Messages that were not received for lack of memory.
+            pub rejected_for_memory: Counter,
             /// Counters by class index, in the order of the settings.
             classes: RefCell<Vec<Rc<ClassCounters>>>,
             /// Metrics of the gateway to other sites.
@@ -53,6 +55,8 @@
             pub pool_ejected: Gauge,
             /// Metrics of the descriptor budgets.
             pub descriptors: DescriptorMetrics,
+            /// Metrics of the memory budget for messages, in bytes.
+            pub message_memory: Rc<BudgetMetrics>,
             /// Version of the endpoint list in use.
             pub pool_version: Gauge,
             /// Messages that wait in the engine's queue.
@@ -170,7 +174,8 @@
         writeln!(f, "callbacks_ambiguous {}", self.callbacks_ambiguous.get())?;
         writeln!(f, "connections_delayed {}", self.connections_delayed.get())?;
         writeln!(f, "pool_unknown_names {}", self.pool_unknown_names.get())?;
-        writeln!(f, "repeated_ids {}", self.repeated_ids.get())
+        writeln!(f, "repeated_ids {}", self.repeated_ids.get())?;
+        writeln!(f, "rejected_for_memory {}", self.rejected_for_memory.get())
     }
 }
 
@@ -195,6 +200,8 @@
         // Last, because programs may rely on the order of the other lines.
         counters.descriptors.write_lines(f)?;
         writeln!(f, "svc.pool_version={}", counters.pool_version.get())?;
-        writeln!(f, "svc.engine_queue={}", counters.engine_queue.get())
+        writeln!(f, "svc.engine_queue={}", counters.engine_queue.get())?;
+        writeln!(f, "svc.memory.messages={}", counters.message_memory.in_use.get())?;
+        writeln!(f, "svc.memory.messages.limit={}", counters.message_memory.limit.get())
     }
 }
--- a/src/server/metrics/tests.rs
+++ b/src/server/metrics/tests.rs
@@ -60,6 +60,7 @@
 connections_delayed 0
 pool_unknown_names 0
 repeated_ids 0
+rejected_for_memory 0
 ";
 
 const OPERATOR_METRICS: &str = "\
@@ -99,6 +100,8 @@
 svc.descriptors.workers.limit=0
 svc.pool_version=0
 svc.engine_queue=0
+svc.memory.messages=0
+svc.memory.messages.limit=0
 ";
 
 #[test]
--- a/src/server/workers/attempt/exchange.rs
+++ b/src/server/workers/attempt/exchange.rs
@@ -96,7 +96,9 @@
                 }
                 AttemptEnd::ResetWhileWaiting
             }
-            HttpError::Truncated | HttpError::TimedOut => AttemptEnd::ResetWhileWaiting,
+            HttpError::Truncated | HttpError::TimedOut | HttpError::MemoryExhausted(_) => {
+                AttemptEnd::ResetWhileWaiting
+            }
         }
     }
 
@@ -140,7 +142,7 @@
 
 /// Reads and discards the body of a response, then returns the connection to the pool if it can be reused.
 pub(super) async fn discard_body(worker: &WorkerEndpoint, mut connection: WorkerConnection, head: &Head) {
-    if head.keep_alive && connection.http.body(head).await.is_ok() {
+    if head.keep_alive && connection.http.discard_body(head).await.is_ok() {
         worker.return_to_pool(connection);
     }
 }
--- a/src/server/workers/capacity_probe.rs
+++ b/src/server/workers/capacity_probe.rs
@@ -77,7 +77,11 @@
         HttpError::Malformed(_) | HttpError::HeadTooLong | HttpError::BodyTooLong => {
             AttemptEnd::MalformedResponse
         }
-        HttpError::Closed | HttpError::Io(_) | HttpError::Truncated | HttpError::TimedOut => {
+        HttpError::Closed
+        | HttpError::Io(_)
+        | HttpError::Truncated
+        | HttpError::TimedOut
+        | HttpError::MemoryExhausted(_) => {
             if worker.record_if_stale(connection) {
                 return AttemptEnd::StaleConnection;
             }
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -38,6 +38,7 @@
         key: None,
         content_type: None,
         body: bytes(b"b"),
+        held: Default::default(),
     };
     let (sender, command) = oneshot::channel();
     let deadline = Instant::now() + Duration::from_secs(60);
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -29,7 +29,7 @@
 fn parses_nested_settings() {
     let config = parse(PLATFORM_FILE).unwrap();
     let settings = &config.settings;
-    assert_eq!((config.seed, config.descriptor_limit), (0x8c1f_30d2_7a5b_e964, 512));
+    assert_eq!((config.seed, config.limits.descriptors), (0x8c1f_30d2_7a5b_e964, 512));
     assert_eq!(
         (settings.scheduler_count, settings.scheduler_index, settings.event_interval_s),
         (3, 2, 0.005)
@@ -172,14 +172,17 @@
     assert_eq!(config.operator_listen, Some("127.0.0.1:7071".parse().unwrap()));
     assert_eq!(config.discovery, "127.0.0.1:8500".parse().unwrap());
     assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
-    assert_eq!(config.descriptor_limit, 512);
+    assert_eq!(config.limits.descriptors, 512);
     let gossip = config.gossip.unwrap();
     assert_eq!(gossip.listen, "127.0.0.1:7946".parse().unwrap());
     assert_eq!(gossip.peers, ["127.0.0.2:1".parse().unwrap(), "127.0.0.3:1".parse().unwrap()]);
     assert_eq!(gossip.broadcast, "127.0.0.4:1".parse().unwrap());
     assert_eq!((config.settings.scheduler_count, config.known_endpoints.version), (3, 41));
     let without_limit = parse(&text.replace("\"sockets\"", "\"others\"")).unwrap();
-    assert_eq!((without_limit.descriptor_limit, parse(PLATFORM_FILE).unwrap().operator_listen), (1024, None));
+    assert_eq!(
+        (without_limit.limits.descriptors, parse(PLATFORM_FILE).unwrap().operator_listen),
+        (1024, None)
+    );
 }
 
 #[test]
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -3,19 +3,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chutesaddle::config::ProcessLimits;
 use chutesaddle::scheduling::{DeduplicationScope, Idempotency, RequestClass, Settings, Tenant};
 use chutesaddle::server::descriptor_budget::DescriptorBudget;
 use chutesaddle::server::engine_queue::{EngineQueue, QueuedMessage};
-use chutesaddle::server::frontend::Frontend;
+use chutesaddle::server::frontend::{Frontend, FrontendBudgets};
 use chutesaddle::server::lifecycle::{Lifecycle, LifecycleEvent};
+use chutesaddle::server::memory_budget::MemoryBudget;
 use chutesaddle::server::metrics::Counters;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+/// Limits of the scheduler.
+const LIMITS: ProcessLimits = ProcessLimits { memory_bytes: 32 * 1024 * 1024, descriptors: 1024 };
 /// Number of connections that send.
 const CONNECTIONS: usize = 4;
 /// Number of messages on each connection.
@@ -24,6 +28,8 @@
 const MAX_WAITING: usize = 2 * 256 + CONNECTIONS;
 /// Time in which a frontend that does not wait for the engine would have read all messages.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time in which the next message is expected.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
 
 fn settings() -> Settings {
     let class = RequestClass {
@@ -48,7 +54,16 @@
     let lifecycle = Rc::new(Lifecycle::default());
     lifecycle.notify(LifecycleEvent::Started);
     let counters = Rc::new(Counters::default());
-    let frontend = Frontend::new(settings(), queue, counters, lifecycle, DescriptorBudget::new(100));
+    let frontend = Frontend::new(
+        settings(),
+        queue,
+        counters,
+        lifecycle,
+        FrontendBudgets {
+            connections: DescriptorBudget::new(100),
+            memory: MemoryBudget::new(LIMITS, Rc::default()),
+        },
+    );
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     spawn_local(Rc::new(frontend).run(Rc::new(listener)));
@@ -86,7 +101,8 @@
         // The rest is read as the engine takes messages.
         let mut taken = 0;
         while taken < CONNECTIONS * MESSAGES {
-            messages.recv().await.expect("the frontend runs");
+            let received = timeout(RECEIVE_TIMEOUT, messages.recv()).await;
+            received.unwrap_or_else(|_| panic!("no message after {taken}")).expect("the frontend runs");
             taken += 1;
             assert!(messages.len() <= MAX_WAITING);
         }
--- a/tests/server/main.rs
+++ b/tests/server/main.rs
@@ -11,6 +11,7 @@
 mod handover;
 mod handover_endpoint_list;
 mod lifecycle;
+mod memory;
 mod operator_interface;
 mod other_build;
 mod races;
--- a/tests/server/scenario/config.rs
+++ b/tests/server/scenario/config.rs
@@ -36,7 +36,7 @@
 
 fn base_config(environment: &Environment, addresses: &HashMap<String, String>) -> String {
     format!(
-        r#"{{"name":"n1","listen":"127.0.0.1:0","ops":"127.0.0.1:0","discovery":"{}","seed":"1f","limits":{{"sockets":{}}},
+        r#"{{"name":"n1","listen":"127.0.0.1:0","ops":"127.0.0.1:0","discovery":"{}","seed":"1f","limits":{{"sockets":{},"memory_mb":{}}},
             "known":{},"settings":{{"membership_mode":"{}","areas":["a","b"],"kinds":["k"],"balancers":1,"tick_s":0.005,
             "grades":[{{"name":"draw-map","effect":"repeatable","slo_s":3,"deadline_s":8,"worth":2}},
             {{"name":"publish-map","effect":"by_key","group":"all","slo_s":3,"deadline_s":8,"window_s":40}}],
@@ -47,6 +47,7 @@
             "specifics":{{"tells_start":true,"progress_s":1,"report_x0":"free_slots"}}}}}}"#,
         addresses["d"],
         environment.max_sockets,
+        environment.memory_mb,
         discovery::endpoint_list(INITIAL_LIST_VERSION, true, environment.initial_workers, addresses),
         if environment.pushed_lists { "pushed" } else { "on_request" },
         environment.worker_idle_timeout_s,
--- a/tests/server/scenario/mod.rs
+++ b/tests/server/scenario/mod.rs
@@ -75,6 +75,7 @@
 //! | | `eof`, `fin` | the connection is closed; `fin`: without a reset |
 //! | | `silence` | no data and no new connection has arrived |
 //! | processes | `exit CODE`, `exit killed`, `log TEXT` | the process exits, or has logged the text |
+//! | | `memory-below MB` | the process has never had this much memory |
 //! | `n1` | `gossip`, `silence` | a gossip message arrives; no more messages arrive |
 //! | `v` | `KIND` | a handover frame of this kind arrives |
 //!
@@ -108,6 +109,8 @@
     pub initial_workers: &'static str,
     /// Descriptor budget in the configuration (`limits.sockets`).
     pub max_sockets: usize,
+    /// Memory limit in the configuration (`limits.memory_mb`).
+    pub memory_mb: usize,
     /// Descriptor limit of the operating system (`ulimit -n`).
     pub descriptor_limit: u32,
     /// Idle time after which workers close connections, in seconds.
@@ -124,6 +127,7 @@
 pub(crate) const DEFAULT: Environment = Environment {
     initial_workers: "m1:active",
     max_sockets: 1024,
+    memory_mb: 192,
     descriptor_limit: 1024,
     worker_idle_timeout_s: 60.0,
     pushed_lists: false,
--- a/tests/server/scenario/process.rs
+++ b/tests/server/scenario/process.rs
@@ -56,7 +56,7 @@
         Ok(())
     }
 
-    /// `exit CODE`, `exit killed` or `log TEXT`.
+    /// `exit CODE`, `exit killed`, `log TEXT` or `memory-below MB`.
     pub(super) fn expect(&mut self, text: &str) -> StepResult {
         match text.split_once(' ') {
             Some(("exit", code)) => {
@@ -68,9 +68,26 @@
                 let logged = || self.log.lock().unwrap().contains(part).then_some(());
                 poll_until(logged).ok_or("the text is not in the log".into())
             }
-            _ => Err("expected `exit CODE`, `exit killed` or `log TEXT`".into()),
+            Some(("memory-below", limit)) => {
+                let limit: usize = limit.parse().map_err(error_text)?;
+                let peak = self.peak_memory_mb()?;
+                if peak < limit {
+                    return Ok(());
+                }
+                Err(format!("the process has had {peak} MB"))
+            }
+            _ => Err("expected `exit CODE`, `exit killed`, `log TEXT` or `memory-below MB`".into()),
         }
     }
+
+    /// The largest resident memory of the process so far, in mebibytes.
+    fn peak_memory_mb(&self) -> Result<usize, String> {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).map_err(error_text)?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).ok_or("no VmHWM")?;
+        let kilobytes = line.split_whitespace().next().ok_or("no value of VmHWM")?;
+        Ok(kilobytes.parse::<usize>().map_err(error_text)? / 1024)
+    }
 }
 
 impl Drop for Scheduler {
