--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -303,8 +303,7 @@
 }
 
 fn build_list_tracker(config: &Config, queue: &EngineQueue, shared: &SharedState) -> Rc<ListTracker> {
-    let version = config.known_endpoints.version;
-    let counters = Rc::clone(&shared.counters);
+    let (version, counters) = (config.known_endpoints.version, Rc::clone(&shared.counters));
     Rc::new(ListTracker::new(config.discovery, version, queue.clone(), counters))
 }
 
